Serve a job end to end through separate processes

Cause: nothing existed. The path caller -> entry VM -> log -> planner -> workers -> log -> caller now runs as separate processes: reserve, claim, arm, go, renew, finish. Contracts and fleet come from the log by offset; a late VM catches up.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Targets for people and CI. "make demo" and "make test" are all a newcomer needs.
+
+GOLANGCI = v2.12.2
+TWIRP    = v8.1.3+incompatible
+PROTOGO  = v1.36.12
+TOOLS    = $(CURDIR)/.tools
+SEED    ?= 1
+
+.PHONY: build demo test lint format generate model bench fuzz capacity tools count
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	go test -race -timeout 15m ./...
+
+format:
+	gofmt -w cmd internal
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI)
+	@test -z "$$(gofmt -l cmd internal)" || { echo "gofmt would change:"; gofmt -l cmd internal; exit 1; }
+	$(TOOLS)/golangci-lint-$(GOLANGCI) run ./...
+
+$(TOOLS)/golangci-lint-$(GOLANGCI):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI)
+	mv $(TOOLS)/golangci-lint $@
+
+# generate needs protoc; the generated code is committed, so that builds do not.
+generate:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOGO)
+	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP)
+	PATH=$(TOOLS):$$PATH protoc --proto_path=. --go_out=. --go_opt=module=sesameyoke \
+	  --twirp_out=. --twirp_opt=module=sesameyoke internal/peer/entry/entrypb/entry.proto
--- /dev/null
+++ b/cmd/sesameyoke/audit.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const usageAudit = `Shows who changed what, when, at which offset of the log, and whether the change
+was accepted or refused and why. The newest change comes first.
+
+    sesameyoke audit --since 24h --max 50`
+
+func auditCommand() *cli.Command {
+	return &cli.Command{
+		Name: "audit", Usage: "show the audit trail of changes", Description: usageAudit,
+		Flags: clientFlags(
+			&cli.DurationFlag{Name: "since", Usage: "only changes of the last `TIME`"},
+			&cli.IntFlag{Name: "max", Usage: "at most `N` changes", Value: 50},
+		),
+		Action: runAudit,
+	}
+}
+
+func runAudit(ctx context.Context, c *cli.Command) error {
+	entries, err := operatorOf(c).Audit(ctx, c.Duration("since"), c.Int("max"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(entries)
+	}
+	rows := [][]string{{"OFFSET", "TIME", "AUTHOR", "SUBJECT", "BASE", "CODE", "NOTE", "REASON"}}
+	for _, e := range entries {
+		rows = append(rows, []string{
+			strconv.FormatInt(e.Offset, 10), e.Time.Format(time.RFC3339), e.Author, e.Subject,
+			strconv.FormatInt(e.Base, 10), e.Code.String(), e.Note, e.Reason,
+		})
+	}
+
+	return printTable(rows)
+}
--- /dev/null
+++ b/cmd/sesameyoke/serve.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	plog "github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"sesameyoke/internal/run/serve"
+	"sesameyoke/internal/run/settings"
+)
+
+const usageServe = `Runs one entry VM until it is told to leave.
+
+SIGTERM, SIGINT or "sesameyoke vm leave" begin a graceful shutdown: requests in
+flight are answered, callers are asked to reconnect, the work of a planner goes to
+another VM. A second signal ends the process at once.
+
+    sesameyoke serve -f entry.yaml`
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name: "serve", Usage: "run an entry VM", Description: usageServe,
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "settings `FILE`", Required: true}},
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Read(c.String("file"))
+	if err != nil {
+		return err
+	}
+	vm := serve.New(s, newLogger(s.LogLevel))
+	if err := vm.Start(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-vm.Left():
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timing.Drain.Duration)
+	defer cancel()
+
+	go func() {
+		<-signals
+		cancel()
+	}()
+	vm.Shutdown(ctx)
+
+	return nil
+}
+
+// newLogger writes one line of key=value pairs for each event to standard error.
+func newLogger(level string) *plog.Logger {
+	return &plog.Logger{
+		Level:      plog.ParseLevel(level),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer: &plog.ConsoleWriter{
+			Formatter: plog.LogfmtFormatter{TimeField: "time"}.Formatter,
+			Writer:    os.Stderr,
+		},
+	}
+}
--- /dev/null
+++ b/internal/core/contract/contract.go
@@ -0,0 +1,117 @@
+// Package contract defines what workspaces are promised and the racks that have
+// to hold it, and decides whether a set of promises can all be met at once.
+package contract
+
+import (
+	"fmt"
+
+	"sesameyoke/internal/core/unit"
+)
+
+const (
+	maxBlocks = 10000
+	maxWeight = 1000
+)
+
+type (
+	// Promise is a number of blocks of adjacent accelerators in one rack.
+	Promise struct {
+		Blocks int `json:"blocks" yaml:"blocks"`
+		Width  int `json:"width" yaml:"width"` // accelerators of one block
+	}
+
+	// Contract is what one workspace is promised and limited to.
+	Contract struct {
+		Workspace  string        `json:"workspace" yaml:"workspace"`
+		Promises   []Promise     `json:"promises" yaml:"promises"`
+		Quota      int           `json:"quota" yaml:"quota"`           // accelerators in use at once; 0 is no limit
+		Queue      int           `json:"queue" yaml:"queue"`           // waiting jobs before refusal
+		Weight     int           `json:"weight" yaml:"weight"`         // share of what is not promised
+		Urgent     bool          `json:"urgent" yaml:"urgent"`         // may submit urgent jobs
+		Checkpoint unit.Duration `json:"checkpoint" yaml:"checkpoint"` // time that a borrower has to save its work
+	}
+
+	// Book is a set of contracts by workspace.
+	Book map[string]Contract
+)
+
+// Size returns the promised accelerators.
+func (c Contract) Size() int {
+	n := 0
+	for _, p := range c.Promises {
+		n += p.Blocks * p.Width
+	}
+
+	return n
+}
+
+// Defaults fills in the fields that an operator may leave out.
+func (c *Contract) Defaults() {
+	if c.Weight == 0 {
+		c.Weight = 1
+	}
+	if c.Queue == 0 {
+		c.Queue = 1000
+	}
+	if c.Checkpoint.Duration == 0 {
+		c.Checkpoint = unit.Seconds(30)
+	}
+}
+
+// Validate returns all invalid fields of the contract, as unit.Faults.
+func (c Contract) Validate() error {
+	var f unit.Faults
+	if !unit.ValidName(c.Workspace) {
+		f.Add("workspace", "%q is not a name of 1 to 64 letters, digits, '-', '_' or '.'", c.Workspace)
+	}
+	for i, p := range c.Promises {
+		if p.Blocks < 1 || p.Blocks > maxBlocks {
+			f.Add(fmt.Sprintf("promises[%d].blocks", i), "%d is not between 1 and %d", p.Blocks, maxBlocks)
+		}
+		if p.Width < 1 || p.Width > MaxRack {
+			f.Add(fmt.Sprintf("promises[%d].width", i), "%d is not between 1 and %d", p.Width, MaxRack)
+		}
+	}
+	if c.Quota < 0 {
+		f.Add("quota", "%d is negative", c.Quota)
+	}
+	if c.Quota > 0 && c.Quota < c.Size() {
+		f.Add("quota", "%d is less than the promised %d accelerators", c.Quota, c.Size())
+	}
+	if c.Queue < 1 {
+		f.Add("queue", "%d is less than 1", c.Queue)
+	}
+	if c.Weight < 1 || c.Weight > maxWeight {
+		f.Add("weight", "%d is not between 1 and %d", c.Weight, maxWeight)
+	}
+	if c.Checkpoint.Duration <= 0 {
+		f.Add("checkpoint", "%v is not positive", c.Checkpoint)
+	}
+
+	return f.Err()
+}
+
+// With returns a copy of the book in which c replaces its workspace's contract.
+func (b Book) With(c Contract) Book {
+	n := b.clone()
+	n[c.Workspace] = c
+
+	return n
+}
+
+// Without returns a copy of the book without the workspace's contract.
+func (b Book) Without(workspace string) Book {
+	n := b.clone()
+	delete(n, workspace)
+
+	return n
+}
+
+func (b Book) clone() Book {
+	n := make(Book, len(b)+1)
+	for k, v := range b {
+		n[k] = v
+	}
+
+	return n
+}
--- /dev/null
+++ b/internal/core/unit/duration.go
@@ -0,0 +1,33 @@
+// Package unit holds value types that carry their unit in JSON and YAML.
+package unit
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Duration is a time.Duration that is written as text, such as "1m30s".
+type Duration struct{ time.Duration }
+
+// Seconds returns a Duration of n seconds.
+func Seconds(n float64) Duration {
+	return Duration{time.Duration(n * float64(time.Second))}
+}
+
+// MarshalText writes the duration as text, such as "1m30s".
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads a duration such as "1m30s". A number without a unit is an
+// error.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return errors.Errorf("Duration.UnmarshalText: %q is not a duration such as 30s", b)
+	}
+	d.Duration = v
+
+	return nil
+}
--- /dev/null
+++ b/internal/peer/caller/caller.go
@@ -0,0 +1,153 @@
+// Package caller answers the callers: HTTP with JSON bodies, documented in
+// docs/API.md.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/job"
+)
+
+const maxList = 1000
+
+type (
+	// API serves the callers. The function fields are the rest of the entry VM.
+	API struct {
+		Body    int64         // largest request body, in bytes
+		Hold    time.Duration // longest wait in one request
+		Enter   func() (leave func(), ok bool)
+		Leaving func() bool
+		Submit  func(ctx context.Context, j job.Job, wait time.Duration) job.Answer
+		Wait    func(ctx context.Context, k job.Key, wait time.Duration) job.Answer
+		Cancel  func(ctx context.Context, k job.Key) job.Answer
+		List    func(workspace string, max int) []Line
+	}
+
+	// Line is one job in a list.
+	Line struct {
+		Key       job.Key   `json:"key"`
+		Code      code.Code `json:"code"`
+		Name      string    `json:"name"`
+		Shape     job.Shape `json:"shape"`
+		Submitted time.Time `json:"submitted"`
+	}
+)
+
+// Routes adds the callers' routes.
+func (a *API) Routes(r chi.Router) {
+	r.Group(func(r chi.Router) {
+		r.Use(a.admit)
+		r.Post("/v1/jobs", a.submit)
+		r.Get("/v1/jobs", a.list)
+		r.Get("/v1/jobs/{workspace}/{id}", a.wait)
+		r.Delete("/v1/jobs/{workspace}/{id}", a.cancel)
+	})
+}
+
+// admit bounds the requests in flight, and asks callers to reconnect while this VM
+// is leaving.
+func (a *API) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		leave, ok := a.Enter()
+		if !ok {
+			Write(w, job.Conclude(job.Key{}, code.Overloaded, "too many requests are in flight at this VM"))
+
+			return
+		}
+		defer leave()
+		r.Body = http.MaxBytesReader(w, r.Body, a.Body)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request) {
+	wait, err := a.waitOf(r)
+	if err != nil {
+		Write(w, job.Conclude(job.Key{}, code.BadRequest, err.Error()))
+
+		return
+	}
+	var j job.Job
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&j); err != nil {
+		Write(w, job.Conclude(job.Key{}, code.BadRequest, "the body is not a job: "+err.Error()))
+
+		return
+	}
+	j.Defaults()
+	if err := j.Validate(); err != nil {
+		Write(w, job.Conclude(j.Key(), code.BadRequest, err.Error()))
+
+		return
+	}
+	a.answer(w, a.Submit(r.Context(), j, wait))
+}
+
+func (a *API) wait(w http.ResponseWriter, r *http.Request) {
+	wait, err := a.waitOf(r)
+	if err != nil {
+		Write(w, job.Conclude(keyOf(r), code.BadRequest, err.Error()))
+
+		return
+	}
+	a.answer(w, a.Wait(r.Context(), keyOf(r), wait))
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
+	a.answer(w, a.Cancel(r.Context(), keyOf(r)))
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	lines := a.List(r.URL.Query().Get("workspace"), maxList)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(lines)
+}
+
+// waitOf returns the wait that the caller asks for, at most Hold.
+func (a *API) waitOf(r *http.Request) (time.Duration, error) {
+	s := r.URL.Query().Get("wait")
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 {
+		return 0, errors.Errorf("wait %q is not a duration such as 10s", s)
+	}
+
+	return min(d, a.Hold), nil
+}
+
+// answer writes an answer, and asks to reconnect when the VM has begun to leave
+// while the request was held.
+func (a *API) answer(w http.ResponseWriter, ans job.Answer) {
+	if a.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	Write(w, ans)
+}
+
+// Write writes an answer with the status of its code.
+func Write(w http.ResponseWriter, ans job.Answer) {
+	w.Header().Set("Content-Type", "application/json")
+	if ans.Retry.Duration > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(ans.Retry.Seconds()+1)))
+	}
+	w.WriteHeader(ans.Code.Info().Status)
+	_ = json.NewEncoder(w).Encode(ans)
+}
+
+func keyOf(r *http.Request) job.Key {
+	return job.Key{Workspace: chi.URLParam(r, "workspace"), ID: chi.URLParam(r, "id")}
+}
--- /dev/null
+++ b/internal/run/metrics/metrics.go
@@ -0,0 +1,58 @@
+// Package metrics holds the process's counters and gauges and serves them in
+// Prometheus' text form.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const reportEvery = time.Second
+
+// Set is the process's metrics.
+type Set struct {
+	Scope   tally.Scope
+	Handler http.Handler // serves /metrics
+
+	closer io.Closer
+}
+
+// New returns an empty set whose names begin with "sesameyoke_".
+func New() *Set {
+	reg := prom.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: reg, Gatherer: reg})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "sesameyoke", CachedReporter: r, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+
+	return &Set{Scope: scope, Handler: r.HTTPHandler(), closer: closer}
+}
+
+// Count adds to a counter.
+func (s *Set) Count(name string, tags map[string]string) {
+	s.Scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+// Gauge sets a gauge.
+func (s *Set) Gauge(name string, v float64) {
+	s.Scope.Gauge(name).Update(v)
+}
+
+// Time records a duration in a histogram of seconds.
+func (s *Set) Time(name string, d time.Duration) {
+	s.Scope.Histogram(name, buckets).RecordDuration(d)
+}
+
+// Close flushes and ends reporting.
+func (s *Set) Close() {
+	_ = s.closer.Close()
+}
+
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 20)
--- /dev/null
+++ b/internal/run/serve/config.go
@@ -0,0 +1,104 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/peer/log"
+)
+
+// configStore holds the configuration in force. Readers load one pointer; the
+// tail's goroutine replaces it.
+type configStore struct {
+	state   atomic.Pointer[config.State]
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced with the state
+}
+
+func newConfigStore() *configStore {
+	s := &configStore{changed: make(chan struct{})}
+	s.state.Store(config.New())
+
+	return s
+}
+
+func (s *configStore) get() *config.State {
+	return s.state.Load()
+}
+
+func (s *configStore) set(n *config.State) {
+	s.state.Store(n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *configStore) next() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.changed
+}
+
+// verdict sends the verdict of a change once the fold has reached it.
+func (s *configStore) verdict(ctx context.Context, id string) <-chan config.Entry {
+	seen := make(chan config.Entry, 1)
+	go func() {
+		for {
+			next := s.next()
+			if e, ok := s.get().Verdict(id); ok {
+				seen <- e
+
+				return
+			}
+			select {
+			case <-next:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+
+	return seen
+}
+
+// publish appends a change and returns its verdict. A change that is certain to be
+// refused is refused without an append only when its content is invalid; all else
+// is for the fold to decide, at the change's own offset.
+func (v *VM) publish(ctx context.Context, c config.Change) config.Entry {
+	c.Time = v.timer.Now()
+	if c.Contract != nil {
+		c.Contract.Defaults()
+	}
+	if c.Policy != nil {
+		c.Policy.Defaults()
+	}
+	c.Sign()
+	e := config.Entry{ID: c.ID, Kind: c.Kind, Subject: c.Subject(), Author: c.Author, Time: c.Time, Base: c.Base, Offset: -1}
+	raw, err := json.Marshal(c)
+	if err != nil {
+		e.Code, e.Reason = code.Invalid, err.Error()
+
+		return e
+	}
+	ctx, cancel := context.WithTimeout(ctx, v.Settings.Timing.Accept.Duration)
+	defer cancel()
+
+	found, err := log.Commit(ctx, v.writers[streamConfig], raw, v.config.verdict(ctx, c.ID))
+	switch err {
+	case nil:
+		return found
+	case log.ErrDown:
+		e.Code, e.Reason = code.LogDown, "the log service is down; the change was not appended"
+	default:
+		e.Code, e.Reason = code.Unsettled, "the log service did not answer; publish the same change again to learn its verdict"
+	}
+
+	return e
+}
--- /dev/null
+++ b/internal/run/serve/jobs.go
@@ -0,0 +1,255 @@
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/ledger"
+	"sesameyoke/internal/peer/caller"
+	"sesameyoke/internal/peer/entry/entrypb"
+	"sesameyoke/internal/peer/log"
+)
+
+// offerEvery is how often the planner is asked for the answer of an offered job.
+const offerEvery = 100 * time.Millisecond
+
+// submit accepts a job and waits for its answer. Accepted means that the job's
+// record is in the log.
+func (v *VM) submit(ctx context.Context, j job.Job, wait time.Duration) job.Answer {
+	if !v.ready.Load() {
+		return job.Conclude(j.Key(), code.NotReady, "this VM has not caught up with the configuration")
+	}
+	j.Submitted = v.timer.Now()
+	j.Region = v.regionOf(j)
+	if a := v.admit(j); a != nil {
+		return *a
+	}
+	if e := v.ledger.Get(j.Key()); e != nil {
+		return v.attach(ctx, e, j, wait)
+	}
+	began := v.timer.Now()
+	if j.Idempotent && !v.logAlive() {
+		return v.offer(ctx, j, wait)
+	}
+	accept, cancel := context.WithTimeout(ctx, v.Settings.Timing.Accept.Duration)
+	defer cancel()
+
+	_, err := v.commit(accept, ledger.Record{Kind: ledger.KindOpen, Key: j.Key(), Job: &j})
+	v.metrics.Time("accept", v.timer.Now().Sub(began))
+	switch {
+	case err == nil:
+		return v.attach(ctx, v.ledger.Get(j.Key()), j, wait)
+	case j.Idempotent && wait > 0:
+		return v.offer(ctx, j, wait)
+	case err == log.ErrDown:
+		return job.Conclude(j.Key(), code.LogDown, "the log service is down; the job was not accepted")
+	}
+
+	return job.Conclude(j.Key(), code.Unknown, "the log service did not answer; submit the same request again")
+}
+
+// admit refuses what can be refused at once, or returns nil.
+func (v *VM) admit(j job.Job) *job.Answer {
+	state := v.config.get()
+	refuse := func(c code.Code, reason string) *job.Answer {
+		a := job.Conclude(j.Key(), c, reason)
+
+		return &a
+	}
+	if _, ok := state.Contracts[j.Workspace]; !ok {
+		return refuse(code.NoWorkspace, "no contract is in force for workspace "+j.Workspace)
+	}
+	if j.Idempotent {
+		return nil
+	}
+	limit := state.Policy.Keep.Duration / 2
+	switch left := j.Deadline.Sub(j.Submitted); {
+	case j.Deadline.IsZero():
+		return refuse(code.BadRequest, "deadline: a non-idempotent job needs one")
+	case left > limit:
+		return refuse(code.BadRequest, "deadline: more than "+limit.String()+" ahead")
+	case left < -limit && v.ledger.Get(j.Key()) == nil:
+		// An earlier request with this ID may have run and been forgotten.
+		return refuse(code.Unknown, "the deadline passed too long ago to know of an earlier run")
+	}
+
+	return nil
+}
+
+// attach waits for the answer of a job that is in the ledger.
+func (v *VM) attach(ctx context.Context, e *ledger.Entry, j job.Job, wait time.Duration) job.Answer {
+	if e == nil {
+		return job.Conclude(j.Key(), code.Unknown, "the request's ID is older than answers are kept")
+	}
+	if e.Fingerprint != j.Fingerprint() {
+		return job.Conclude(j.Key(), code.Conflict, "the request's ID belongs to a different job")
+	}
+
+	return v.wait(ctx, j.Key(), wait)
+}
+
+// wait waits for the answer of an accepted job.
+func (v *VM) wait(ctx context.Context, k job.Key, wait time.Duration) job.Answer {
+	done := v.ledger.Done(k)
+	if done == nil {
+		return job.Conclude(k, code.NotFound, "no such job is known here")
+	}
+	t := time.NewTimer(min(wait, v.Settings.Limits.Hold.Duration))
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	e := v.ledger.Get(k)
+	if e == nil {
+		return job.Conclude(k, code.NotFound, "the job's answer is no longer kept")
+	}
+	if e.Answer == nil {
+		return job.Conclude(k, code.Pending, "")
+	}
+
+	return *e.Answer
+}
+
+// offer runs an idempotent job under the caller's request while the log is down.
+func (v *VM) offer(ctx context.Context, j job.Job, wait time.Duration) job.Answer {
+	if j.Run.Duration > v.Settings.Limits.Short.Duration || wait <= 0 {
+		return job.Conclude(j.Key(), code.LogDown, "the log service is down; only short work is taken, while the caller waits")
+	}
+	raw, err := json.Marshal(j)
+	if err != nil {
+		return job.Conclude(j.Key(), code.BadRequest, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+
+	offered := false
+	for ctx.Err() == nil {
+		a, taken := v.offerOnce(ctx, j.Region, raw)
+		offered = offered || taken
+		if a != nil {
+			return *a
+		}
+		pause(ctx, offerEvery)
+	}
+	if !offered {
+		return job.Conclude(j.Key(), code.LogDown, "the log service is down and no planner could be reached")
+	}
+
+	return job.Conclude(j.Key(), code.Unknown, "the job did not end while the request was held")
+}
+
+func (v *VM) offerOnce(ctx context.Context, region string, raw []byte) (a *job.Answer, taken bool) {
+	m, ok := v.members.Planner(region)
+	if !ok {
+		return nil, false
+	}
+	reply, err := v.members.Peer(m.Address).Offer(ctx, &entrypb.OfferRequest{Job: raw})
+	if err != nil {
+		return nil, true // the planner may have taken it
+	}
+	if len(reply.Answer) == 0 {
+		return nil, reply.Planner
+	}
+	if err := json.Unmarshal(reply.Answer, &a); err != nil {
+		return nil, true
+	}
+
+	return a, true
+}
+
+func (v *VM) takeOffer(j job.Job) *job.Answer {
+	return v.plannerOf(j.Region).Offer(j)
+}
+
+// cancel asks the planner, through the log, not to run a job.
+func (v *VM) cancel(ctx context.Context, k job.Key) job.Answer {
+	e := v.ledger.Get(k)
+	if e == nil {
+		return job.Conclude(k, code.NotFound, "no such job is known here")
+	}
+	if e.Answer != nil {
+		return *e.Answer
+	}
+	ctx, stop := context.WithTimeout(ctx, v.Settings.Timing.Accept.Duration)
+	defer stop()
+
+	if _, err := v.commit(ctx, ledger.Record{Kind: ledger.KindCancel, Key: k}); err != nil {
+		return job.Conclude(k, code.Unsettled, "the cancellation may not have been noted: "+err.Error())
+	}
+
+	return v.wait(ctx, k, v.Settings.Timing.Accept.Duration)
+}
+
+func (v *VM) listJobs(workspace string, limit int) []caller.Line {
+	var out []caller.Line
+	v.ledger.Each(func(e *ledger.Entry) bool {
+		if workspace != "" && e.Job.Workspace != workspace {
+			return true
+		}
+		c := code.Pending
+		if e.Answer != nil {
+			c = e.Answer.Code
+		}
+		out = append(out, caller.Line{
+			Key: e.Job.Key(), Code: c, Name: c.Info().Name, Shape: e.Job.Shape, Submitted: e.Job.Submitted,
+		})
+
+		return true
+	})
+	sort.Slice(out, func(i, j int) bool { return out[i].Submitted.After(out[j].Submitted) })
+
+	return out[:min(len(out), limit)]
+}
+
+// regionOf returns the region that plans a job: the VM's own when its racks could
+// hold the shape, else the first that could.
+func (v *VM) regionOf(j job.Job) string {
+	fallback := ""
+	for _, r := range v.config.get().Fleet.Racks {
+		if r.Size() < j.Shape.Width {
+			continue
+		}
+		if r.Region == v.Settings.Region {
+			return r.Region
+		}
+		if fallback == "" {
+			fallback = r.Region
+		}
+	}
+	if fallback == "" {
+		return v.Settings.Region
+	}
+
+	return fallback
+}
+
+// commit appends a record of the jobs stream and waits until the fold has reached
+// it.
+func (v *VM) commit(ctx context.Context, r ledger.Record) (ledger.Verdict, error) {
+	if r.ID == "" {
+		b := make([]byte, 10)
+		_, _ = rand.Read(b)
+		r.ID = hex.EncodeToString(b)
+	}
+	if r.Time.IsZero() {
+		r.Time = v.timer.Now()
+	}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return ledger.Skipped, errors.Wrap(err, "VM.commit")
+	}
+	seen := v.ledger.Watch(r.ID)
+	defer v.ledger.Forget(r.ID)
+
+	return log.Commit(ctx, v.writers[streamJobs], raw, seen)
+}
--- /dev/null
+++ b/internal/run/serve/serve.go
@@ -0,0 +1,328 @@
+// Package serve wires the parts of one entry VM together.
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	plog "github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/core/ledger"
+	"sesameyoke/internal/peer/caller"
+	"sesameyoke/internal/peer/entry"
+	"sesameyoke/internal/peer/log"
+	"sesameyoke/internal/peer/operator"
+	"sesameyoke/internal/peer/vms"
+	"sesameyoke/internal/peer/worker"
+	"sesameyoke/internal/run/metrics"
+	"sesameyoke/internal/run/planner"
+	"sesameyoke/internal/run/settings"
+	"sesameyoke/internal/run/timer"
+)
+
+// Streams of the log.
+const (
+	streamConfig = "config"
+	streamJobs   = "jobs"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	drainPoll         = 20 * time.Millisecond
+
+	// leaveSettle is how long a leaving VM goes on answering after its peers and
+	// the balancer have been told, before it closes its listener.
+	leaveSettle = time.Second
+)
+
+type (
+	// VM is one entry VM.
+	VM struct {
+		Settings settings.Settings
+		Log      *plog.Logger
+		Pause    func(step string) // called between the steps of a gang, for tests
+
+		life     string
+		timer    *timer.Service
+		metrics  *metrics.Set
+		list     directory
+		members  *entry.Members
+		client   *http.Client
+		config   *configStore
+		ledger   *ledger.Ledger
+		tails    map[string]*log.Tail
+		writers  map[string]*log.Writer
+		workers  *worker.Client
+		mu       sync.Mutex
+		planners map[string]*planner.Planner // by region
+		inflight atomic.Int64
+		leaving  atomic.Bool // callers are asked to go elsewhere
+		gone     atomic.Bool // peers are told that this VM is leaving
+		ready    atomic.Bool
+		left     chan struct{} // closed when the graceful shutdown begins
+		leave    sync.Once
+		server   *http.Server
+		listener net.Listener
+	}
+)
+
+// New returns a VM; Start begins its work.
+func New(s settings.Settings, l *plog.Logger) *VM {
+	b := make([]byte, 6)
+	_, _ = rand.Read(b)
+
+	return &VM{
+		Settings: s, Log: l, life: hex.EncodeToString(b), timer: timer.New(), metrics: metrics.New(),
+		planners: make(map[string]*planner.Planner), left: make(chan struct{}),
+	}
+}
+
+// Start begins to serve. It returns once the listener is open.
+func (v *VM) Start() error {
+	v.wire()
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", v.Settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "VM.Start")
+	}
+	v.listener = ln
+	v.Settings.Listen = ln.Addr().String()
+	v.server = &http.Server{
+		Handler: v.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+	go func() { _ = v.server.Serve(ln) }()
+	v.subscribe()
+	v.Log.Info().Str("event", "serve").Str("vm", v.Settings.Name).Str("listen", v.Settings.Listen).Str("life", v.life).Msg("")
+
+	return nil
+}
+
+// Address returns the address that the VM listens on.
+func (v *VM) Address() string {
+	return v.Settings.Listen
+}
+
+func (v *VM) wire() {
+	t := v.Settings.Timing
+	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
+	v.client = entry.NewClient(t.Call.Duration)
+	v.workers = worker.NewClient(t.Call.Duration)
+	v.config = newConfigStore()
+	v.ledger = ledger.New(func() time.Duration { return v.config.get().Policy.Keep.Duration })
+	lc := &log.Client{Base: v.Settings.Log, HTTP: platform, Timeout: t.Append.Duration}
+	v.writers = map[string]*log.Writer{
+		streamConfig: log.NewWriter(streamConfig, lc), streamJobs: log.NewWriter(streamJobs, lc),
+	}
+	v.tails = map[string]*log.Tail{streamConfig: v.configTail(lc), streamJobs: v.jobsTail(lc)}
+	for _, tail := range v.tails {
+		tail.Start()
+	}
+	v.list = directory{client: &vms.Client{Base: v.Settings.VMs, HTTP: platform, Timeout: t.Call.Duration}}
+	v.list.start()
+	v.members = &entry.Members{
+		Self: v.self, Seeds: v.list.entries, Suspect: t.Suspect.Duration, Call: t.Call.Duration,
+		Now: v.timer.Now, Shown: v.shown,
+	}
+	v.members.Start(v.client)
+}
+
+func (v *VM) configTail(c *log.Client) *log.Tail {
+	return &log.Tail{
+		Stream: streamConfig, Client: c, Behind: v.behind(streamConfig),
+		Apply: v.applyConfig,
+		Skip:  func(o int64) { v.config.set(v.config.get().Skip(o)) },
+		Dump:  func() ([]byte, error) { return v.config.get().Dump() },
+		Load: func(b []byte) error {
+			s, err := config.Load(b)
+			if err == nil {
+				v.config.set(s)
+			}
+
+			return err
+		},
+	}
+}
+
+func (v *VM) jobsTail(c *log.Client) *log.Tail {
+	return &log.Tail{
+		Stream: streamJobs, Client: c, Behind: v.behind(streamJobs),
+		Apply: v.applyJob, Skip: v.ledger.Skip, Dump: v.ledger.Dump, Load: v.ledger.Load,
+	}
+}
+
+func (v *VM) behind(stream string) func(error) {
+	return func(err error) {
+		v.metrics.Count("log_read_failed", map[string]string{"stream": stream})
+		v.Log.Debug().Str("event", "log-read").Str("stream", stream).Str("error", err.Error()).Msg("")
+	}
+}
+
+// applyConfig folds one change and tells of its verdict.
+func (v *VM) applyConfig(offset int64, raw []byte) {
+	s := v.config.get().Apply(offset, raw)
+	v.config.set(s)
+	if len(s.Audit) == 0 {
+		return
+	}
+	e := s.Audit[len(s.Audit)-1]
+	if e.Offset != offset {
+		return
+	}
+	v.metrics.Count("changes", map[string]string{"code": e.Code.Info().Name})
+	v.Log.Info().Str("event", "change").Int64("offset", offset).Str("subject", e.Subject).
+		Str("author", e.Author).Int("code", int(e.Code)).Str("reason", e.Reason).Msg("")
+}
+
+// applyJob folds one record and tells the planner when it took effect.
+func (v *VM) applyJob(offset int64, raw []byte) {
+	r, verdict := v.ledger.Apply(offset, raw)
+	if verdict != ledger.Won {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	for _, p := range v.planners {
+		p.Record(r)
+	}
+}
+
+// subscribe starts what runs by itself.
+func (v *VM) subscribe() {
+	t := v.Settings.Timing
+	v.timer.Every(t.List.Duration, v.list.refresh)
+	v.timer.Every(t.Beat.Duration, v.members.Beat)
+	v.timer.Every(t.Beat.Duration, v.catchUp)
+	v.timer.Every(t.Beat.Duration, func(context.Context) { v.plan() })
+	v.timer.Every(t.List.Duration, v.snapshot)
+	v.timer.Every(time.Second, func(context.Context) { v.gauges() })
+	for _, w := range v.writers {
+		v.timer.Go(w.Run)
+	}
+	for _, tail := range v.tails {
+		v.timer.Go(tail.Run)
+	}
+}
+
+func (v *VM) routes() http.Handler {
+	r := chi.NewRouter()
+	callers := &caller.API{
+		Body: v.Settings.Limits.Body, Hold: v.Settings.Limits.Hold.Duration, Enter: v.enter,
+		Leaving: v.leaving.Load, Submit: v.submit, Wait: v.wait, Cancel: v.cancel, List: v.listJobs,
+	}
+	callers.Routes(r)
+	operators := &operator.API{
+		Token: v.Settings.Token, State: v.config.get, Publish: v.publish,
+		Members: v.members.Live, Racks: v.racks, Leave: v.Leave,
+	}
+	operators.Routes(r)
+	peers := &entry.Server{
+		Members: v.members, Tail: func(s string) *log.Tail { return v.tails[s] },
+		Offer: v.takeOffer, Plans: v.plans, Racks: v.ownRacks,
+	}
+	r.Handle("/twirp/*", peers.Handler())
+	r.Handle("/metrics", v.metrics.Handler)
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.Get("/readyz", v.readyz)
+
+	return r
+}
+
+func (v *VM) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case v.leaving.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !v.ready.Load():
+		http.Error(w, "catching up", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// enter admits a caller's request.
+func (v *VM) enter() (leave func(), ok bool) {
+	if v.inflight.Add(1) > int64(v.Settings.Limits.Inflight) {
+		v.inflight.Add(-1)
+		v.metrics.Count("requests_refused", nil)
+
+		return nil, false
+	}
+
+	return func() { v.inflight.Add(-1) }, true
+}
+
+// Leave begins the graceful shutdown. Left tells when to call Shutdown.
+func (v *VM) Leave() {
+	v.leave.Do(func() {
+		v.Log.Info().Str("event", "leave").Str("vm", v.Settings.Name).Msg("")
+		v.leaving.Store(true)
+		close(v.left)
+	})
+}
+
+// Left returns a channel that is closed when the graceful shutdown has begun.
+func (v *VM) Left() <-chan struct{} {
+	return v.left
+}
+
+// Shutdown ends the VM gracefully: no gang is left half started, the peers are
+// told, and requests in flight are answered. The context bounds it.
+func (v *VM) Shutdown(ctx context.Context) {
+	v.Leave()
+	begun := v.timer.Now()
+	for _, p := range v.allPlanners() {
+		p.Drain(ctx)
+	}
+	v.gone.Store(true)
+	v.members.Beat(ctx)
+	pause(ctx, leaveSettle)
+	for v.inflight.Load() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+	_ = v.server.Shutdown(ctx)
+	v.Log.Info().Str("event", "left").Str("vm", v.Settings.Name).Dur("drain", v.timer.Now().Sub(begun)).Msg("")
+	v.stop()
+}
+
+// Kill ends the VM at once, as a crash would, for tests.
+func (v *VM) Kill() {
+	_ = v.server.Close()
+	v.stop()
+}
+
+func (v *VM) stop() {
+	v.timer.Stop()
+	v.metrics.Close()
+	v.client.CloseIdleConnections()
+	v.workers.HTTP.CloseIdleConnections()
+}
+
+func (v *VM) gauges() {
+	v.metrics.Gauge("jobs_open", float64(v.ledger.Open()))
+	v.metrics.Gauge("config_offset", float64(v.config.get().Offset))
+	v.metrics.Gauge("members_live", float64(len(v.members.Live())))
+	v.metrics.Gauge("requests_inflight", float64(v.inflight.Load()))
+	alive := 0.0
+	if v.logAlive() {
+		alive = 1
+	}
+	v.metrics.Gauge("log_alive", alive)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/http.go
@@ -0,0 +1,67 @@
+package worker
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Handler serves the worker's calls, POST /faults and GET /journal.
+func (w *Worker) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Group(func(r chi.Router) {
+		r.Use(w.swallow)
+		r.Post("/reserve", handle(w.Reserve))
+		r.Post("/arm", handle(w.Arm))
+		r.Post("/go", handle(w.Go))
+		r.Post("/release", handle(w.Release))
+		r.Post("/save", handle(w.Save))
+		r.Post("/stop", handle(w.Stop))
+		r.Post("/throttle", handle(w.Throttle))
+		r.Post("/renew", handle(w.Renew))
+	})
+	r.Post("/faults", handle(func(f Faults) Faults {
+		w.SetFaults(f)
+
+		return f
+	}))
+	r.Get("/journal", func(rw http.ResponseWriter, _ *http.Request) {
+		write(rw, w.Journal())
+	})
+
+	return r
+}
+
+// swallow keeps a silent worker's requests without an answer.
+func (w *Worker) swallow(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		silent := w.faults.Silent
+		w.mu.Unlock()
+
+		if silent {
+			<-r.Context().Done()
+
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
+func handle[In, Out any](f func(In) Out) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+
+			return
+		}
+		write(rw, f(in))
+	}
+}
+
+func write(rw http.ResponseWriter, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(v)
+}
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,58 @@
+# Functions that start and end a small deployment on 127.0.0.1. Sourced by demo.sh.
+# WORK holds logs and settings, BIN the programs.
+
+TOKEN=demo-operator-token
+PIDS=""
+
+start_log()    { run log    "$BIN/standin" log --listen 127.0.0.1:7001; }
+start_vms()    { run vms    "$BIN/standin" vms --listen 127.0.0.1:7002; }
+start_worker() { run "w$1"  "$BIN/standin" worker --listen "127.0.0.1:$((7100 + $1))" --accelerators 8; }
+
+# run NAME COMMAND... starts a process and remembers its ID.
+run() {
+  local name=$1
+  shift
+  "$@" >"$WORK/$name.log" 2>&1 &
+  eval "PID_$name=$!"
+  PIDS="$PIDS $!"
+}
+
+# start_entry N DOMAIN starts entry VM eN with its settings.
+start_entry() {
+  sed -e "s/^name: .*/name: e$1/" -e "s/^domain: .*/domain: $2/" \
+      -e "s/^listen: .*/listen: 127.0.0.1:$((7200 + $1))/" -e "s/^token: .*/token: $TOKEN/" \
+      examples/entry.yaml >"$WORK/e$1.yaml"
+  run "e$1" "$BIN/sesameyoke" serve -f "$WORK/e$1.yaml"
+}
+
+# enlist ROLE NAME PORT DOMAIN puts a VM on the platform's list.
+enlist() {
+  curl -fsS -X PUT 127.0.0.1:7002/vms \
+    -d "{\"name\":\"$2\",\"role\":\"$1\",\"address\":\"127.0.0.1:$3\",\"region\":\"latvia\",\"domain\":\"$4\"}"
+}
+
+# await URL waits until it answers with success.
+await() {
+  for _ in $(seq 100); do
+    curl -fs -o /dev/null "$1" && return 0
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  return 1
+}
+
+# end_all ends every process that run has started, by ID.
+end_all() {
+  for pid in $PIDS; do
+    kill -9 "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+}
+
+start_platform() {
+  start_log
+  start_vms
+  for i in $(seq 12); do start_worker "$i"; done
+  await 127.0.0.1:7002/vms
+  for i in $(seq 12); do enlist worker "w$i" $((7100 + i)) "d$(((i + 5) / 6))"; done
+}
