--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,9 @@
 	GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP)
 	PATH=$(TOOLS):$$PATH protoc --proto_path=. --go_out=. --go_opt=module=sesameyoke \
 	  --twirp_out=. --twirp_opt=module=sesameyoke internal/peer/entry/entrypb/entry.proto
+
+# bench replays the traces of both deployments through all policies, and times one
+# decision at growing sizes.
+bench:
+	go test -run '^$$' -bench Policies -benchtime 1x -timeout 60m ./internal/core/plan
+	go test -run '^$$' -bench Decision -benchmem ./internal/core/plan
--- a/cmd/sesameyoke/contract.go
+++ b/cmd/sesameyoke/contract.go
@@ -172,7 +172,7 @@
 	rows = append(rows, []string{"WORKSPACE", "PROMISED", "QUOTA", "QUEUE", "WEIGHT", "URGENT", "CHECKPOINT", "VERSION"})
 	for _, name := range s.Workspaces() {
 		k := now.Contracts[name]
-		var promised []string
+		promised := make([]string, 0, len(k.Promises))
 		for _, p := range k.Promises {
 			promised = append(promised, fmt.Sprintf("%dx%d", p.Blocks, p.Width))
 		}
--- a/internal/core/plan/health.go
+++ b/internal/core/plan/health.go
@@ -52,8 +52,10 @@
 	s.blame(worker, it.Key)
 	s.vacate(it)
 	it.began = true
-	if !it.gone && it.Movable && len(it.blamed) < failuresToGiveUp-1 {
+	if !slices.Contains(it.blamed, worker) {
 		it.blamed = append(it.blamed, worker)
+	}
+	if !it.gone && it.Movable && len(it.blamed) < failuresToGiveUp {
 		s.requeue(it)
 
 		return
--- /dev/null
+++ b/internal/core/plan/naive_test.go
@@ -0,0 +1,276 @@
+package plan_test
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/plan"
+)
+
+type (
+	// policy is what the simulation drives.
+	policy interface {
+		Step(now time.Duration, events ...plan.Event) []plan.Action
+	}
+
+	// naive is written to be obviously right: it keeps a list of waiting jobs and an
+	// array of owners, and looks through all of it at every event.
+	naive struct {
+		rules   plan.Rules
+		mode    string // fcfs, skip, best or easy
+		now     time.Duration
+		queue   []plan.Job
+		running map[job.Key]*naiveRun
+		racks   [][]bool // accelerator in use
+		out     map[string]bool
+		failed  map[string][]job.Key
+		again   map[string]time.Duration
+	}
+
+	naiveRun struct {
+		job    plan.Job
+		places []plan.Place
+		ends   time.Duration // by the declared run time
+	}
+)
+
+func newNaive(rules plan.Rules, mode string) *naive {
+	n := &naive{
+		rules: rules, mode: mode, running: map[job.Key]*naiveRun{},
+		out: map[string]bool{}, failed: map[string][]job.Key{}, again: map[string]time.Duration{},
+	}
+	for _, r := range rules.Fleet.Racks {
+		n.racks = append(n.racks, make([]bool, r.Size()))
+	}
+
+	return n
+}
+
+// Step applies events and starts what the mode allows.
+func (n *naive) Step(now time.Duration, events ...plan.Event) []plan.Action {
+	n.now = now
+	for _, e := range events {
+		n.apply(e)
+	}
+	for w, at := range n.again {
+		if now >= at {
+			delete(n.again, w)
+			delete(n.out, w)
+			n.failed[w] = nil
+		}
+	}
+
+	return n.schedule()
+}
+
+func (n *naive) apply(e plan.Event) {
+	switch e.Kind {
+	case plan.Submit:
+		n.queue = append(n.queue, e.Job)
+	case plan.Cancel:
+		n.queue = slices.DeleteFunc(n.queue, func(j plan.Job) bool { return j.Key == e.Key })
+		n.free(e.Key)
+	case plan.Finish:
+		if r := n.running[e.Key]; r != nil {
+			for _, p := range r.places {
+				n.failed[n.worker(p)] = nil
+			}
+		}
+		n.free(e.Key)
+	case plan.Fail, plan.Halted:
+		if r := n.running[e.Key]; r != nil {
+			n.free(e.Key)
+			n.queue = append(n.queue, r.job)
+			sort.SliceStable(n.queue, func(i, j int) bool { return n.queue[i].Since < n.queue[j].Since })
+		}
+		if e.Kind == plan.Fail {
+			n.blame(e.Worker, e.Key)
+		}
+	case plan.Down:
+		n.out[e.Worker] = true
+	case plan.Up:
+		delete(n.out, e.Worker)
+	}
+}
+
+// blame puts a worker aside on which three distinct jobs have failed in a row, as
+// the real policy does, so that the comparison is about order and placement.
+func (n *naive) blame(w string, k job.Key) {
+	if !slices.Contains(n.failed[w], k) {
+		n.failed[w] = append(n.failed[w], k)
+	}
+	if len(n.failed[w]) >= 3 && !n.out[w] {
+		n.out[w] = true
+		n.again[w] = n.now + time.Hour
+	}
+}
+
+func (n *naive) free(k job.Key) {
+	r := n.running[k]
+	if r == nil {
+		return
+	}
+	for _, p := range r.places {
+		for i := p.First; i < p.First+p.Width; i++ {
+			n.racks[p.Rack][i] = false
+		}
+	}
+	delete(n.running, k)
+}
+
+func (n *naive) worker(p plan.Place) string {
+	return n.rules.Fleet.Racks[p.Rack].Workers[p.First/8].Name
+}
+
+func (n *naive) schedule() []plan.Action {
+	var out []plan.Action
+	shadow, extra := time.Duration(-1), 0
+	kept := n.queue[:0:0]
+	for i, j := range n.queue {
+		if n.mode == "fcfs" && len(kept) > 0 {
+			kept = append(kept, n.queue[i:]...)
+
+			break
+		}
+		size := j.Shape.Size()
+		late := n.now+j.Declared > shadow
+		if n.mode == "easy" && shadow >= 0 && late && size > extra {
+			kept = append(kept, j)
+
+			continue
+		}
+		places := n.find(j)
+		if places == nil {
+			if n.mode == "easy" && shadow < 0 {
+				shadow, extra = n.reserve(size)
+			}
+			kept = append(kept, j)
+
+			continue
+		}
+		if shadow >= 0 && late {
+			extra -= size
+		}
+		for _, p := range places {
+			for i := p.First; i < p.First+p.Width; i++ {
+				n.racks[p.Rack][i] = true
+			}
+		}
+		n.running[j.Key] = &naiveRun{job: j, places: places, ends: n.now + j.Declared}
+		out = append(out, plan.Action{Kind: plan.Start, Key: j.Key, Places: places})
+	}
+	n.queue = kept
+
+	return out
+}
+
+// reserve returns when, by declared run times, size accelerators are free, and how
+// many more will be.
+func (n *naive) reserve(size int) (time.Duration, int) {
+	free := 0
+	for i := range n.racks {
+		for a := range n.racks[i] {
+			if n.usable(i, a) {
+				free++
+			}
+		}
+	}
+	var runs []*naiveRun
+	for _, r := range n.running {
+		runs = append(runs, r)
+	}
+	sort.Slice(runs, func(i, j int) bool {
+		if runs[i].ends != runs[j].ends {
+			return runs[i].ends < runs[j].ends
+		}
+
+		return runs[i].job.Key.ID < runs[j].job.Key.ID
+	})
+	for _, r := range runs {
+		if free >= size {
+			return max(n.now, r.ends), free - size
+		}
+		free += r.job.Shape.Size()
+	}
+
+	return n.now, max(0, free-size)
+}
+
+func (n *naive) usable(rack, i int) bool {
+	return !n.racks[rack][i] && !n.out[n.worker(plan.Place{Rack: rack, First: i})]
+}
+
+func (n *naive) find(j plan.Job) []plan.Place {
+	if j.Shape.Adjacent || j.Shape.Members == 1 {
+		rack, first := n.run(j.Shape.Members, j.Shape.Width, nil)
+		if rack < 0 {
+			return nil
+		}
+		var out []plan.Place
+		for m := range j.Shape.Members {
+			out = append(out, plan.Place{Rack: rack, First: first + m*j.Shape.Width, Width: j.Shape.Width})
+		}
+
+		return out
+	}
+	taken := map[[2]int]bool{}
+	var out []plan.Place
+	for range j.Shape.Members {
+		rack, first := n.run(1, j.Shape.Width, taken)
+		if rack < 0 {
+			return nil
+		}
+		for i := range j.Shape.Width {
+			taken[[2]int{rack, first + i}] = true
+		}
+		out = append(out, plan.Place{Rack: rack, First: first, Width: j.Shape.Width})
+	}
+
+	return out
+}
+
+// run returns the first run of free accelerators that takes the members, or in
+// mode best the one in the shortest run.
+func (n *naive) run(members, width int, taken map[[2]int]bool) (rack, first int) {
+	rack, first = -1, -1
+	shortest := 1 << 30
+	for r := range n.racks {
+		for i := 0; i+members*width <= len(n.racks[r]); i++ {
+			if width <= 8 && i%8+width > 8 || members > 1 && (8%width != 0 || i%width != 0) {
+				continue
+			}
+			length := n.length(r, i, members*width, taken)
+			if length < 0 || n.mode != "best" && rack >= 0 || length >= shortest {
+				continue
+			}
+			rack, first, shortest = r, i, length
+			if n.mode != "best" {
+				return rack, first
+			}
+		}
+	}
+
+	return rack, first
+}
+
+// length returns the length of the free run around a place, or -1 when the place
+// is not free.
+func (n *naive) length(r, first, size int, taken map[[2]int]bool) int {
+	ok := func(i int) bool { return n.usable(r, i) && !taken[[2]int{r, i}] }
+	for i := first; i < first+size; i++ {
+		if !ok(i) {
+			return -1
+		}
+	}
+	lo, hi := first, first+size
+	for lo > 0 && ok(lo-1) {
+		lo--
+	}
+	for hi < len(n.racks[r]) && ok(hi) {
+		hi++
+	}
+
+	return hi - lo
+}
--- a/internal/core/plan/order.go
+++ b/internal/core/plan/order.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"sesameyoke/internal/core/job"
@@ -17,6 +18,7 @@
 		shape     job.Shape
 		movable   bool
 		urgent    bool
+		avoid     string // workers on which the job has failed
 	}
 
 	// group is a heap of waiting jobs by score.
@@ -33,23 +35,27 @@
 )
 
 // scoreOf returns the place in line of a job with so much work left: the time of
-// submission, plus a function of the work. A job is overtaken only by jobs
-// submitted less than that function's value later, which bounds its wait.
+// submission, plus a function of the work that grows with it up to Cap. A job is
+// overtaken only by jobs submitted less than Cap later, which bounds its wait.
 func (s *State) scoreOf(it *item, left time.Duration) float64 {
 	work := left.Seconds() * float64(it.size)
 
-	return it.Since.Seconds() + s.tune.Scale*math.Pow(work, s.tune.Power)
+	return it.Since.Seconds() + min(s.tune.Scale*math.Pow(work, s.tune.Power), s.tune.Cap.Seconds())
 }
 
 func (s *State) enqueue(it *item) {
 	it.phase = waiting
 	it.score = s.scoreOf(it, it.guess.Left(it.Done))
-	k := groupKey{workspace: it.Key.Workspace, shape: it.Shape, movable: it.Movable, urgent: it.Urgent}
+	k := groupKey{
+		workspace: it.Key.Workspace, shape: it.Shape, movable: it.Movable, urgent: it.Urgent,
+		avoid: strings.Join(it.blamed, " "),
+	}
 	g, ok := s.groups[k]
 	if !ok {
 		g = &group{key: k}
 		s.groups[k] = g
 	}
+	it.group = g
 	heap.Push(g, it)
 	if !g.active {
 		g.active = true
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -74,7 +74,7 @@
 	if s.reclaim(it) {
 		return true
 	}
-	if *preempts == 0 || len(s.cleared) >= s.tune.MaxClears {
+	if *preempts == 0 {
 		return false
 	}
 	*preempts--
@@ -90,8 +90,7 @@
 
 // take removes the head of a group from the line.
 func (s *State) take(it *item) {
-	g := s.groups[groupKey{workspace: it.Key.Workspace, shape: it.Shape, movable: it.Movable, urgent: it.Urgent}]
-	heap.Pop(g)
+	heap.Pop(it.group)
 	s.usageOf(it.Key.Workspace).queued--
 }
 
@@ -138,13 +137,24 @@
 	s.fresh = true
 }
 
-// allowed returns the accelerators of a rack on which the job may start now. A job
-// that cannot be moved stays out of what others are promised.
+// allowed returns the accelerators of a rack on which the job may start now.
 func (s *State) allowed(it *item, rack int) uint64 {
+	return s.racks.all[rack].usable() &^ s.barred(it, rack)
+}
+
+// barred returns the accelerators that the job must not use. A job that cannot be
+// moved stays out of what others are promised, and no job goes back to a worker on
+// which it has failed.
+func (s *State) barred(it *item, rack int) uint64 {
 	r := &s.racks.all[rack]
-	m := r.usable()
+	var m uint64
 	if !it.Movable {
-		m &^= r.promised &^ s.own[ownKey{it.Key.Workspace, rack}]
+		m = r.promised &^ s.own[ownKey{it.Key.Workspace, rack}]
+	}
+	for _, name := range it.blamed {
+		if ref := s.byName[name]; ref.rack == rack {
+			m |= contract.Low(ref.span.width) << ref.span.first
+		}
 	}
 
 	return m
@@ -291,10 +301,7 @@
 // couldHold returns how many members an empty rack would take.
 func (s *State) couldHold(it *item, rack, members int) int {
 	r := &s.racks.all[rack]
-	m := r.mask
-	if !it.Movable {
-		m &^= r.promised &^ s.own[ownKey{it.Key.Workspace, rack}]
-	}
+	m := r.mask &^ s.barred(it, rack)
 	size := members * it.Shape.Width
 	if size > contract.MaxRack {
 		return 0
@@ -356,6 +363,7 @@
 	s.take(it)
 	s.usageOf(it.Key.Workspace).queued++
 	it.phase = clearing
+	it.drains = false
 	it.places = places
 	for _, p := range places {
 		m := p.mask()
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -91,5 +91,6 @@
 		Fleet     contract.Fleet
 		Contracts contract.Book
 		Policy    config.Policy
+		Tune      func(config.Policy) Tuning // nil is Tune
 	}
 )
--- a/internal/core/plan/reclaim.go
+++ b/internal/core/plan/reclaim.go
@@ -6,6 +6,9 @@
 	"sesameyoke/internal/core/contract"
 )
 
+// minGain is how many times the cost of a move a job has to have left to run.
+const minGain = 4
+
 type (
 	// clearance is a place and the jobs that have to give way there.
 	clearance struct {
@@ -51,7 +54,7 @@
 		return clearance{}, false
 	}
 	r := &s.racks.all[b.Rack]
-	room := b.Mask() &^ r.down &^ r.held
+	room := b.Mask() &^ r.down &^ r.held &^ s.barred(it, b.Rack)
 	starts := contract.Starts(room, size) & r.starts(it.Shape.Members, it.Shape.Width)
 	gives := func(v *item) bool {
 		if !v.Movable {
@@ -159,10 +162,7 @@
 // clearable returns the starts in a rack that could be cleared for the job.
 func (s *State) clearable(it *item, rack int) uint64 {
 	r := &s.racks.all[rack]
-	room := r.mask &^ r.down &^ r.held
-	if !it.Movable {
-		room &^= r.promised &^ s.own[ownKey{it.Key.Workspace, rack}]
-	}
+	room := r.mask &^ r.down &^ r.held &^ s.barred(it, rack)
 
 	return contract.Starts(room, it.size) & r.starts(it.Shape.Members, it.Shape.Width)
 }
@@ -170,7 +170,7 @@
 // drain keeps the places that will be free first for a job that has waited for
 // long, so that smaller jobs cannot slip in for ever.
 func (s *State) drain(it *item) bool {
-	if s.now-it.Since < s.tune.Hold {
+	if s.now-it.Since < s.tune.Hold || s.drains() >= s.tune.MaxDrains {
 		return false
 	}
 	var best clearance
@@ -192,59 +192,73 @@
 		return false
 	}
 	s.clear(it, best, false)
+	it.drains = true
 
 	return true
 }
 
-// gather checkpoints a small job when that joins free accelerators to a block and
-// the job fits a hole elsewhere.
+// drains returns the number of jobs that keep places which drain by themselves.
+func (s *State) drains() int {
+	n := 0
+	for _, it := range s.cleared {
+		if it.phase == clearing && it.drains {
+			n++
+		}
+	}
+
+	return n
+}
+
+// gather empties one worker of the small jobs that scatter its free accelerators,
+// when they fit holes elsewhere: the worker with the least to move.
 func (s *State) gather() {
-	if s.budget < s.tune.budgetSpan*s.rate()/2 {
+	if s.budget < s.tune.MoveFloor*s.tune.budgetSpan*s.rate() {
 		return
 	}
-	var best *item
-	gain := 0
+	var best []*item
+	least := wide
 	for i := range s.racks.all {
 		r := &s.racks.all[i]
-		free := r.usable()
-		was := bits.OnesCount64(outside(free))
-		if was == 0 {
-			continue
-		}
-		for _, v := range r.occupants(r.mask) {
-			g := s.gainOf(v, i, free, was)
-			if g > gain && s.movableNow(v) && s.costOf(v) < s.budget {
-				best, gain = v, g
+		for _, w := range r.workers {
+			m := contract.Low(w.width) << w.first
+			busy := bits.OnesCount64(m &^ r.free)
+			if busy == 0 || busy >= least || m&(r.down|r.held) != 0 {
+				continue
+			}
+			if jobs := r.occupants(m); s.fitElsewhere(jobs, i, m) {
+				best, least = jobs, busy
 			}
 		}
 	}
-	if best != nil {
-		s.evict(best, false)
+	for _, v := range best {
+		s.evict(v, false)
 	}
 }
 
-// gainOf returns how many free accelerators come to lie in blocks when the job
-// leaves its rack for the best hole elsewhere, less the job's own size.
-func (s *State) gainOf(v *item, rack int, free uint64, was int) int {
-	if v.size >= wide || v.Shape.Members > 1 {
-		return 0
-	}
-	after := bits.OnesCount64(outside(free | v.places[0].mask()))
-	gain := was - after
-	if gain < 1 {
-		return 0
-	}
-	hole, ok := s.best(v, 1, map[int]uint64{rack: s.racks.all[rack].mask})
-	if !ok || hole.cost.scattered > 0 {
-		return 0
+// fitElsewhere reports whether all the jobs may be moved now and fit holes outside
+// the accelerators m of a rack.
+func (s *State) fitElsewhere(jobs []*item, rack int, m uint64) bool {
+	taken := map[int]uint64{rack: m}
+	cost := 0.0
+	for _, v := range jobs {
+		cost += s.costOf(v)
+		if v.size >= wide || v.Shape.Members > 1 || !s.movableNow(v) || cost > s.budget {
+			return false
+		}
+		hole, ok := s.best(v, 1, taken)
+		if !ok || hole.cost.scattered > 0 {
+			return false
+		}
+		taken[hole.rack] |= contract.Low(v.size) << hole.first
 	}
 
-	return gain - hole.cost.scattered
+	return true
 }
 
+// movableNow reports whether a job may be checkpointed to improve the placement.
 func (s *State) movableNow(v *item) bool {
 	rested := v.moves == 0 || s.now-v.moved >= s.tune.Rest
-	long := v.guess.Left(v.Done+s.now-v.started) > 4*s.tune.Overhead
+	long := v.guess.Left(v.Done+s.now-v.started) > minGain*s.tune.Overhead
 
 	return v.phase == running && v.Movable && !v.owed && rested && long
 }
--- a/internal/core/plan/state.go
+++ b/internal/core/plan/state.go
@@ -36,6 +36,8 @@
 		until   time.Duration // saving: stopped after it
 		moved   time.Duration // last time a checkpoint was asked of it
 		moves   int
+		group   *group
+		drains  bool     // clearing: the places drain by themselves
 		blamed  []string // workers on which it failed
 		began   bool     // it has run for a while
 		gone    bool     // cancelled or concluded
@@ -115,7 +117,10 @@
 // setRules takes over contracts and policy.
 func (s *State) setRules(r Rules) {
 	s.rules = r
-	s.tune = Tune(r.Policy)
+	if r.Tune == nil {
+		r.Tune = Tune
+	}
+	s.tune = r.Tune(r.Policy)
 	s.weights = 0
 	for _, c := range r.Contracts {
 		s.weights += float64(c.Weight)
--- /dev/null
+++ b/internal/core/plan/trace_test.go
@@ -0,0 +1,245 @@
+package plan_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/core/contract"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/plan"
+	"sesameyoke/internal/core/unit"
+)
+
+const (
+	saveTime    = 20 * time.Second // a checkpoint holds the accelerators for so long
+	restoreTime = 20 * time.Second // and its restart again
+	failTime    = 5 * time.Second  // a task on a bad worker fails after so long
+	outage      = time.Hour        // of the rack that is lost
+)
+
+type (
+	// traceJob is one job of a trace with what only the simulation knows.
+	traceJob struct {
+		plan.Job
+		run    time.Duration // true run time
+		cancel bool          // called off at trace.wave
+	}
+
+	// trace is a seeded list of arrivals and faults.
+	trace struct {
+		name  string
+		rules plan.Rules
+		jobs  []traceJob // by submission
+		wave  time.Duration
+		lost  int // rack that is lost
+		down  time.Duration
+		bad   []string // workers that fail everything
+	}
+
+	kindOf struct {
+		name   string
+		share  float64
+		median float64 // seconds
+		sigma  float64
+	}
+
+	// mix is what distinguishes the deployments.
+	mix struct {
+		weigh config.Weigh
+		sizes map[int]float64
+		kinds []kindOf
+	}
+)
+
+var mixes = map[string]mix{
+	"baltmala": {
+		weigh: config.WeighCompletion,
+		sizes: map[int]float64{1: .36, 2: .18, 4: .16, 8: .16, 16: .10, 32: .04},
+		kinds: []kindOf{{"price", .5, 60, .8}, {"route", .33, 900, .8}, {"season", .17, 7200, .6}},
+	},
+	"cuenca": {
+		weigh: config.WeighFragmentation,
+		sizes: map[int]float64{1: .3, 2: .17, 4: .16, 8: .2, 16: .12, 32: .05},
+		kinds: []kindOf{{"quote", .5, 120, .8}, {"book", .3, 1800, .8}, {"batch", .2, 9000, .6}},
+	},
+}
+
+// fleetOf returns racks of six workers with eight accelerators each.
+func fleetOf(workers int) contract.Fleet {
+	var f contract.Fleet
+	for i := range workers {
+		if i%6 == 0 {
+			n := len(f.Racks)
+			f.Racks = append(f.Racks, contract.Rack{
+				Name: fmt.Sprintf("r%d", n), Region: "r", Domain: fmt.Sprintf("d%d", n%4),
+			})
+		}
+		r := &f.Racks[len(f.Racks)-1]
+		r.Workers = append(r.Workers, contract.Worker{Name: fmt.Sprintf("w%d", i), Accelerators: 8})
+	}
+
+	return f
+}
+
+// bookOf promises about half of 400 accelerators to four workspaces.
+func bookOf() contract.Book {
+	b := contract.Book{}
+	for _, c := range []contract.Contract{
+		{Workspace: "host", Promises: []contract.Promise{{Blocks: 2, Width: 16}}},
+		{Workspace: "a", Promises: []contract.Promise{{Blocks: 1, Width: 32}, {Blocks: 2, Width: 16}}, Urgent: true},
+		{Workspace: "b", Promises: []contract.Promise{{Blocks: 2, Width: 16}, {Blocks: 2, Width: 8}}},
+		{Workspace: "c", Promises: []contract.Promise{{Blocks: 2, Width: 8}}},
+	} {
+		c.Weight, c.Queue, c.Checkpoint = 1, 100000, unit.Seconds(30)
+		b[c.Workspace] = c
+	}
+
+	return b
+}
+
+func newTrace(name string, load float64, jobs int, seed uint64) *trace {
+	m := mixes[name]
+	rng := rand.New(rand.NewPCG(seed, 7))
+	p := config.Policy{Weigh: m.weigh}
+	p.Defaults()
+	t := &trace{name: name, rules: plan.Rules{Fleet: fleetOf(50), Contracts: bookOf(), Policy: p}}
+	work := 0.0
+	for i := range jobs {
+		j := m.draw(rng, i)
+		work += j.run.Seconds() * float64(j.Shape.Size())
+		t.jobs = append(t.jobs, j)
+	}
+	span := work / (400 * load)
+	t.arrive(rng, span)
+	t.wave = time.Duration(span / 2 * float64(time.Second))
+	t.down = time.Duration(span * .6 * float64(time.Second))
+	t.lost = 3
+	t.bad = []string{"w7", "w33"}
+	for i := range t.jobs {
+		j := &t.jobs[i]
+		before := t.wave - j.Since
+		j.cancel = before > 0 && before < 2*time.Hour && rng.Float64() < .3
+	}
+
+	return t
+}
+
+// arrive spreads the jobs over span seconds; a tenth comes in bursts of sixty.
+func (t *trace) arrive(rng *rand.Rand, span float64) {
+	burst := 0.0
+	for i := range t.jobs {
+		at := rng.Float64() * span
+		if i%10 == 0 {
+			if i%600 == 0 {
+				burst = rng.Float64() * span
+			}
+			at = burst
+		}
+		t.jobs[i].Since = time.Duration(at * float64(time.Second))
+	}
+	sort.SliceStable(t.jobs, func(i, j int) bool { return t.jobs[i].Since < t.jobs[j].Since })
+}
+
+func (m mix) draw(rng *rand.Rand, i int) traceJob {
+	size := pick(rng, m.sizes)
+	k := m.kinds[len(m.kinds)-1]
+	x := rng.Float64()
+	for _, c := range m.kinds {
+		if x < c.share {
+			k = c
+
+			break
+		}
+		x -= c.share
+	}
+	run := math.Min(k.median*math.Exp(k.sigma*rng.NormFloat64()), 12*3600)
+	off := math.Exp((2*rng.Float64() - 1) * math.Log(4))
+	j := traceJob{run: time.Duration(run * float64(time.Second))}
+	ws := []string{"host", "a", "a", "a", "b", "b", "b", "c"}[rng.IntN(8)]
+	j.Key = job.Key{Workspace: ws, ID: fmt.Sprintf("j%d", i)}
+	j.Kind = k.name
+	j.Declared = time.Duration(run * off * float64(time.Second))
+	j.Movable = size > 8 || rng.Float64() > .1
+	j.Shape = job.Shape{Members: 1, Width: size, Adjacent: true}
+	if size > 8 {
+		j.Shape = job.Shape{Members: size / 8, Width: 8, Adjacent: true}
+	} else if size >= 2 && rng.Float64() < .2 {
+		j.Shape = job.Shape{Members: size, Width: 1}
+	}
+	j.Urgent = ws == "a" && size <= 2 && j.Movable && rng.Float64() < .2
+
+	return j
+}
+
+func pick(rng *rand.Rand, shares map[int]float64) int {
+	var keys []int
+	for k := range shares {
+		keys = append(keys, k)
+	}
+	sort.Ints(keys)
+	x := rng.Float64()
+	for _, k := range keys {
+		if x < shares[k] {
+			return k
+		}
+		x -= shares[k]
+	}
+
+	return keys[0]
+}
+
+// bound returns a lower bound on the mean completion time in seconds: all
+// accelerators as one pool, true run times, the least remaining work first, no job
+// faster than its own run time.
+func (t *trace) bound() float64 {
+	type open struct {
+		left, size, since float64 // left in accelerator-seconds
+	}
+	var active []*open
+	now, sum, n := 0.0, 0.0, 0
+	next := 0
+	for next < len(t.jobs) || len(active) > 0 {
+		sort.SliceStable(active, func(i, j int) bool { return active[i].left < active[j].left })
+		free := 400.0
+		until := math.Inf(1)
+		rates := make([]float64, len(active))
+		for i, o := range active {
+			rates[i] = math.Min(o.size, free)
+			free -= rates[i]
+			if rates[i] > 0 {
+				until = math.Min(until, now+o.left/rates[i])
+			}
+		}
+		if next < len(t.jobs) {
+			until = math.Min(until, t.jobs[next].Since.Seconds())
+		}
+		kept := active[:0]
+		for i, o := range active {
+			o.left -= rates[i] * (until - now)
+			if o.left <= 1e-6 {
+				sum += until - o.since
+				n++
+
+				continue
+			}
+			kept = append(kept, o)
+		}
+		active = kept
+		now = until
+		for next < len(t.jobs) && t.jobs[next].Since.Seconds() <= now {
+			j := t.jobs[next]
+			next++
+			if j.cancel {
+				continue
+			}
+			size := float64(j.Shape.Size())
+			active = append(active, &open{left: j.run.Seconds() * size, size: size, since: j.Since.Seconds()})
+		}
+	}
+
+	return sum / float64(n)
+}
