--- a/internal/run/gang/gang.go
+++ b/internal/run/gang/gang.go
@@ -41,6 +41,8 @@
 		Go      func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
 		Release func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
 		Stop    func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Save    func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Renew   func(ctx context.Context, worker string, r worker.RenewRequest) (worker.Report, error)
 
 		// Claim writes a claim to the log and returns its verdict once it has been
 		// read back. An error leaves open whether the claim stands.
--- a/internal/run/planner/hosts.go
+++ b/internal/run/planner/hosts.go
@@ -84,17 +84,16 @@
 		if h.busy || now.Sub(h.asked) < s.p.Timing.Renew.Duration {
 			continue
 		}
-		addr := s.p.Address(h.name)
-		if addr == "" {
+		if s.p.Address(h.name) == "" {
 			h.tried = true
 
 			continue
 		}
-		s.renew(h, addr, now)
+		s.renew(h, now)
 	}
 }
 
-func (s *session) renew(h *host, addr string, now time.Time) {
+func (s *session) renew(h *host, now time.Time) {
 	h.busy = true
 	h.asked = now
 	req := worker.RenewRequest{
@@ -102,7 +101,7 @@
 	}
 	h.confirm, h.forget = nil, nil
 	go func() {
-		rep, err := s.p.Workers.Renew(s.ctx, addr, req)
+		rep, err := s.p.calls.Renew(s.ctx, h.name, req)
 		s.send(func(s *session) { s.renewed(h, req, rep, err) })
 	}()
 }
@@ -240,8 +239,8 @@
 
 // hurry renews a worker's lease at once.
 func (s *session) hurry(h *host) {
-	if addr := s.p.Address(h.name); addr != "" && !h.busy {
-		s.renew(h, addr, s.p.Timer.Now())
+	if s.p.Address(h.name) != "" && !h.busy {
+		s.renew(h, s.p.Timer.Now())
 	}
 }
 
--- a/internal/run/planner/planner.go
+++ b/internal/run/planner/planner.go
@@ -62,7 +62,7 @@
 		Timer    *timer.Service
 		Metrics  *metrics.Set
 		Log      *plog.Logger
-		Pause    func(step string) // called between the steps of a gang; nil is none
+		Ports    func(gang.Ports) gang.Ports // changes the calls to workers and log, for tests; nil is none
 	}
 
 	// Planner runs one loop that owns all its state. Other goroutines send it
@@ -70,6 +70,7 @@
 	Planner struct {
 		Config
 
+		calls    gang.Ports
 		in       chan func(*session)
 		active   atomic.Bool  // a session is running
 		drain    atomic.Bool  // no new gangs are started
@@ -98,11 +99,13 @@
 
 // New returns a planner; Run has to be started.
 func New(c Config) *Planner {
-	if c.Pause == nil {
-		c.Pause = func(string) {}
+	p := &Planner{Config: c, in: make(chan func(*session), inbox)}
+	p.calls = p.bind()
+	if c.Ports != nil {
+		p.calls = c.Ports(p.calls)
 	}
 
-	return &Planner{Config: c, in: make(chan func(*session), inbox)}
+	return p
 }
 
 // Run plans whenever this VM is the region's planner, until the context ends.
@@ -297,41 +300,3 @@
 		s.conclude(a)
 	}
 }
-
-// ports binds the protocol's calls to the workers' addresses.
-func (s *session) ports() gang.Ports {
-	w := s.p.Workers
-	at := s.p.Address
-
-	return gang.Ports{
-		Reserve: func(ctx context.Context, name string, r worker.ReserveRequest) (worker.Reply, error) {
-			return w.Reserve(ctx, at(name), r)
-		},
-		Arm: func(ctx context.Context, name string, r worker.ArmRequest) (worker.Reply, error) {
-			return w.Arm(ctx, at(name), r)
-		},
-		Go: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Go(ctx, at(name), r)
-		},
-		Release: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Release(ctx, at(name), r)
-		},
-		Stop: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Stop(ctx, at(name), r)
-		},
-		Claim: func(ctx context.Context, k job.Key, c ledger.Claim) (ledger.Verdict, error) {
-			ctx, cancel := context.WithTimeout(ctx, s.p.Timing.Accept.Duration)
-			defer cancel()
-
-			return s.p.Commit(ctx, ledger.Record{Kind: ledger.KindClaim, Key: k, Claim: &c})
-		},
-		Begin: func(ctx context.Context, k job.Key) {
-			ctx, cancel := context.WithTimeout(ctx, s.p.Timing.Append.Duration)
-			defer cancel()
-
-			// Without the log an idempotent job starts all the same.
-			_, _ = s.p.Commit(ctx, ledger.Record{Kind: ledger.KindBegin, Key: k})
-		},
-		Pause: s.p.Pause,
-	}
-}
--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -76,7 +76,7 @@
 	}
 	g := &gang.Gang{
 		Job: j, Attempt: attempt, Holder: s.p.Self, Save: save,
-		Reserve: s.p.Timing.Reserve.Duration, First: s.p.Timing.First.Duration, Ports: s.ports(),
+		Reserve: s.p.Timing.Reserve.Duration, First: s.p.Timing.First.Duration, Ports: s.p.calls,
 	}
 	id := newAttemptID()
 	for i, p := range a.Places {
@@ -304,7 +304,7 @@
 func (s *session) askSave(r *run) {
 	for _, m := range r.gang.Members {
 		go func() {
-			_, _ = s.p.Workers.Save(s.ctx, s.p.Address(m.Worker), worker.TokenRequest{Token: m.Token, Life: m.Life})
+			_, _ = s.p.calls.Save(s.ctx, m.Worker, worker.TokenRequest{Token: m.Token, Life: m.Life})
 		}()
 	}
 }
--- a/internal/run/planner/takeover.go
+++ b/internal/run/planner/takeover.go
@@ -68,7 +68,7 @@
 func (s *session) newGang(j job.Job, attempt int) *gang.Gang {
 	return &gang.Gang{
 		Job: j, Attempt: attempt, Holder: s.p.Self,
-		Reserve: s.p.Timing.Reserve.Duration, First: s.p.Timing.First.Duration, Ports: s.ports(),
+		Reserve: s.p.Timing.Reserve.Duration, First: s.p.Timing.First.Duration, Ports: s.p.calls,
 	}
 }
 
@@ -115,9 +115,8 @@
 		return // settleClaims decides
 	}
 	s.p.Log.Info().Str("event", "reap").Str("job", t.Key.String()).Str("worker", name).Str("state", string(t.State)).Msg("")
-	addr := s.p.Address(name)
 	go func() {
-		_, _ = s.p.Workers.Stop(s.ctx, addr, worker.TokenRequest{Token: t.Token, Life: h.life})
+		_, _ = s.p.calls.Stop(s.ctx, name, worker.TokenRequest{Token: t.Token, Life: h.life})
 	}()
 }
 
--- /dev/null
+++ b/internal/run/serve/path_test.go
@@ -0,0 +1,159 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/contract"
+	"sesameyoke/internal/core/job"
+)
+
+// TestAnswers submits many jobs at once through different VMs, while append replies
+// are lost, and requires that each caller gets the whole answer to its own request.
+func TestAnswers(t *testing.T) {
+	r := newRig(t, 4, plain("a"))
+	x, y := r.start("x", nil), r.start("y", nil)
+	r.log.SetFaults(standinFaults{LoseReply: 3})
+	var wait sync.WaitGroup
+	answers := make([]job.Answer, 40)
+	for i := range answers {
+		wait.Go(func() {
+			vm := x
+			if i%2 == 1 {
+				vm = y
+			}
+			j := jobOf("a", fmt.Sprint("j", i), 1+i%2, 1, 20*time.Millisecond)
+			a, err := r.caller(vm).Submit(context.Background(), j, 20*time.Second)
+			if err == nil {
+				answers[i] = a
+			}
+		})
+	}
+	wait.Wait()
+	for i, a := range answers {
+		require.NoError(t, ownAnswer(a, job.Key{Workspace: "a", ID: fmt.Sprint("j", i)}))
+	}
+	// The check can fail: another's answer, and one with a part missing, are caught.
+	require.Error(t, ownAnswer(answers[0], answers[1].Key))
+	cut := answers[1]
+	cut.Parts = cut.Parts[:1]
+	require.Error(t, ownAnswer(cut, cut.Key))
+}
+
+func ownAnswer(a job.Answer, k job.Key) error {
+	if a.Code != code.OK || a.Key != k || !a.Whole() {
+		return fmt.Errorf("%s: code %s, key %s, whole %v, %s", k, a.Code, a.Key, a.Whole(), a.Reason)
+	}
+	for i, p := range a.Parts {
+		if !strings.Contains(p.Data, fmt.Sprintf("member %d of %d of %s:", i, len(a.Parts), k)) {
+			return fmt.Errorf("part %d of %s is %q", i, k, p.Data)
+		}
+	}
+
+	return nil
+}
+
+// TestSameRequestTwice submits one request through two VMs at once: one job, one run.
+func TestSameRequestTwice(t *testing.T) {
+	r := newRig(t, 2, plain("a"))
+	x, y := r.start("x", nil), r.start("y", nil)
+	j := once(jobOf("a", "pay", 1, 1, 100*time.Millisecond))
+	var wait sync.WaitGroup
+	var a, b job.Answer
+	wait.Go(func() { a, _ = r.caller(x).Submit(context.Background(), j, 10*time.Second) })
+	wait.Go(func() { b, _ = r.caller(y).Submit(context.Background(), j, 10*time.Second) })
+	wait.Wait()
+	require.Equal(t, code.OK, a.Code, a.Reason)
+	require.Equal(t, a.Digest, b.Digest)
+	require.Len(t, r.begun()[j.Key()], 1)
+	j.Payload = "another"
+	c, err := r.caller(x).Submit(context.Background(), j, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, code.Conflict, c.Code)
+}
+
+// TestReclaim fills all racks with borrowed work and requires that the owner's shape
+// starts within the checkpoint time that the contract allows.
+func TestReclaim(t *testing.T) {
+	r := newRig(t, 4, plain("a", contract.Promise{Blocks: 1, Width: 16}), plain("b"))
+	x := r.start("x", nil)
+	c := r.caller(x)
+	for i := range 4 {
+		_, err := c.Submit(context.Background(), jobOf("b", fmt.Sprint("fill", i), 1, 8, time.Minute), 0)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return len(r.begun()) == 4 }, 5*time.Second, 10*time.Millisecond)
+	asked := time.Now()
+	a, err := c.Submit(context.Background(), jobOf("a", "mine", 2, 8, 10*time.Millisecond), 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, code.OK, a.Code, a.Reason)
+	mine := r.begun()[job.Key{Workspace: "a", ID: "mine"}]
+	require.Len(t, mine, 2)
+	require.Less(t, mine[0].At.Sub(asked), 2*time.Second)
+	// The borrowers' work is not lost: they go on from their checkpoints.
+	require.Eventually(t, func() bool {
+		for i := range 4 {
+			if len(r.begun()[job.Key{Workspace: "b", ID: fmt.Sprint("fill", i)}]) == 0 {
+				return false
+			}
+		}
+
+		return len(r.begun()[job.Key{Workspace: "b", ID: "fill0"}])+len(r.begun()[job.Key{Workspace: "b", ID: "fill1"}])+
+			len(r.begun()[job.Key{Workspace: "b", ID: "fill2"}])+len(r.begun()[job.Key{Workspace: "b", ID: "fill3"}]) == 6
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// TestCancel cancels a waiting job and a running one.
+func TestCancel(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	x := r.start("x", nil)
+	c := r.caller(x)
+	run := jobOf("a", "run", 1, 8, time.Minute)
+	wait := once(jobOf("a", "wait", 1, 8, time.Minute))
+	_, err := c.Submit(context.Background(), run, 0)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(r.begun()) == 1 }, 5*time.Second, 10*time.Millisecond)
+	_, err = c.Submit(context.Background(), wait, 0)
+	require.NoError(t, err)
+	a, err := c.Cancel(context.Background(), wait.Key())
+	require.NoError(t, err)
+	require.Equal(t, code.Cancelled, a.Code, a.Reason)
+	a, err = c.Cancel(context.Background(), run.Key())
+	require.NoError(t, err)
+	require.Equal(t, code.Stopped, a.Code, a.Reason)
+	require.Empty(t, r.begun()[wait.Key()])
+}
+
+// TestBadInput requires clear errors for what callers and operators get wrong.
+func TestBadInput(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	x := r.start("x", nil)
+	for body, want := range map[string]string{
+		`{"workspace":"a","id":"no spaces"}`:                          "id:",
+		`{"workspace":"a","id":"j","x":1}`:                            "unknown field",
+		`{"workspace":"a"`:                                            "not a job",
+		`{"workspace":"a","id":"j","shape":{"members":65,"width":1}}`: "shape.members",
+		`{"workspace":"a","id":"j"}`:                                  "deadline",
+		`{"workspace":"nobody","id":"j","idempotent":true}`:           "no contract",
+	} {
+		resp, err := http.Post("http://"+x.Address()+"/v1/jobs", "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		text := make([]byte, 4096)
+		n, _ := resp.Body.Read(text)
+		_ = resp.Body.Close()
+		require.Contains(t, string(text[:n]), want, body)
+		require.GreaterOrEqual(t, resp.StatusCode, 400, body)
+	}
+	bad := r.operator(x)
+	bad.Token = "wrong-token-here"
+	_, err := bad.Config(context.Background())
+	require.ErrorContains(t, err, "11 unauthorized")
+}
--- a/internal/run/serve/peers.go
+++ b/internal/run/serve/peers.go
@@ -212,7 +212,7 @@
 		Address: func(w string) string { return v.list.get(w).Address },
 		Leaving: func(w string) bool { return v.list.get(w).Leaving },
 		Workers: v.workers, LogAlive: v.logAlive, Commit: v.commit, Timer: v.timer,
-		Metrics: v.metrics, Log: v.Log, Pause: v.Pause,
+		Metrics: v.metrics, Log: v.Log, Ports: v.Ports,
 	})
 	v.planners[region] = p
 	v.timer.Go(p.Run)
--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -23,6 +23,7 @@
 	"sesameyoke/internal/peer/operator"
 	"sesameyoke/internal/peer/vms"
 	"sesameyoke/internal/peer/worker"
+	"sesameyoke/internal/run/gang"
 	"sesameyoke/internal/run/metrics"
 	"sesameyoke/internal/run/planner"
 	"sesameyoke/internal/run/settings"
@@ -50,7 +51,7 @@
 	VM struct {
 		Settings settings.Settings
 		Log      *plog.Logger
-		Pause    func(step string) // called between the steps of a gang, for tests
+		Ports    func(gang.Ports) gang.Ports // changes the planners' calls, for tests
 
 		life     string
 		timer    *timer.Service
