Prove at most once under random faults, by the workers' journals

Cause: the race detector found the planner's loop reading a gang's members while the protocol's goroutine still wrote the workers' incarnations into them. Fix: a run is known by its attempt ID; members belong to the protocol until the gang has started.

--- a/internal/run/planner/hosts.go
+++ b/internal/run/planner/hosts.go
@@ -164,8 +164,11 @@
 // lost ends the gangs that have a member on the worker.
 func (s *session) lost(h *host, reason string) {
 	for _, r := range s.runs {
+		if r.phase == phaseStarting {
+			continue
+		}
 		for i, m := range r.gang.Members {
-			if m.Worker == h.name && r.phase != phaseStarting && r.states[i].State.Holds() {
+			if m.Worker == h.name && r.states[i].State.Holds() {
 				r.states[i].State = worker.Missing
 				s.broken(r, h.name, reason)
 			}
--- a/internal/run/planner/planner.go
+++ b/internal/run/planner/planner.go
@@ -231,6 +231,11 @@
 		h.told = false
 	}
 	for _, r := range s.runs {
+		if r.phase == phaseStarting {
+			s.event(plan.Event{Kind: plan.Adopt, Job: s.planJob(r.gang.Job, nil), Places: r.places})
+
+			continue
+		}
 		s.adoptRun(r)
 	}
 	s.surveyed = false
--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -30,7 +30,8 @@
 	// run is one attempt of a job that this planner looks after.
 	run struct {
 		key    job.Key
-		gang   *gang.Gang
+		id     string     // of the attempt: the tokens begin with it
+		gang   *gang.Gang // belongs to the protocol's goroutine while phase is phaseStarting
 		phase  runPhase
 		halt   bool // a stop was asked for while the gang was starting
 		save   bool // a checkpoint was asked for while the gang was starting
@@ -44,13 +45,7 @@
 )
 
 func (r *run) owns(token string) bool {
-	for _, m := range r.gang.Members {
-		if m.Token == token {
-			return true
-		}
-	}
-
-	return false
+	return attemptOf(token) == r.id
 }
 
 func newAttemptID() string {
@@ -85,7 +80,7 @@
 			Worker: name, Token: fmt.Sprintf("%s.%d", id, i), First: first, Width: p.Width,
 		})
 	}
-	r := &run{key: a.Key, gang: g, states: make([]worker.Task, len(g.Members)), places: a.Places, began: s.p.Timer.Now()}
+	r := &run{key: a.Key, id: id, gang: g, states: make([]worker.Task, len(g.Members)), places: a.Places, began: s.p.Timer.Now()}
 	s.runs[a.Key] = r
 	s.p.starting.Add(1)
 	go func() {
--- a/internal/run/planner/takeover.go
+++ b/internal/run/planner/takeover.go
@@ -26,7 +26,7 @@
 	if !ok || !g.Job.Idempotent || s.runs[g.Job.Key()] != nil {
 		return false
 	}
-	r := &run{key: g.Job.Key(), gang: g, began: o.seen, states: make([]worker.Task, len(g.Members))}
+	r := &run{key: g.Job.Key(), id: id, gang: g, began: o.seen, states: make([]worker.Task, len(g.Members))}
 	for i, t := range o.tasks {
 		r.states[i] = t
 	}
@@ -167,7 +167,7 @@
 	s.p.Log.Info().Str("event", "settle").Str("job", k.String()).Int("attempt", claim.Attempt).
 		Str("outcome", string(res.Outcome)).Str("reason", res.Reason).Msg("")
 	s.p.Metrics.Count("settles", map[string]string{"outcome": string(res.Outcome)})
-	r := &run{key: k, gang: g, began: s.p.Timer.Now(), states: make([]worker.Task, len(g.Members))}
+	r := &run{key: k, id: attemptOf(g.Members[0].Token), gang: g, began: s.p.Timer.Now(), states: make([]worker.Task, len(g.Members))}
 	switch res.Outcome {
 	case gang.NotStarted:
 		s.void(k, claim.Attempt)
@@ -188,14 +188,13 @@
 
 // takeStates gives a run the reports that came before it was known.
 func (s *session) takeStates(r *run) {
-	id := attemptOf(r.gang.Members[0].Token)
-	if o := s.orphans[id]; o != nil {
+	if o := s.orphans[r.id]; o != nil {
 		for i, t := range o.tasks {
 			if i < len(r.states) && t.State.Began() {
 				r.states[i] = t
 			}
 		}
-		delete(s.orphans, id)
+		delete(s.orphans, r.id)
 	}
 	for _, m := range r.gang.Members {
 		if h := s.workers[m.Worker]; h != nil {
--- /dev/null
+++ b/internal/run/serve/faults_test.go
@@ -0,0 +1,254 @@
+package serve_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/ledger"
+	port "sesameyoke/internal/peer/worker"
+	"sesameyoke/internal/run/gang"
+	"sesameyoke/internal/run/serve"
+	standin "sesameyoke/internal/standin/worker"
+)
+
+var errLost = errors.New("the test has lost this message")
+
+type (
+	// chaos loses messages and pauses coordinators at random.
+	chaos struct {
+		mu  sync.Mutex
+		rng *rand.Rand
+	}
+
+	// outcome is what one run of faults has shown.
+	outcome struct {
+		violations []string
+		answers    map[code.Code]int
+		open       int
+		recovery   []time.Duration // from submission to answer
+	}
+)
+
+func (c *chaos) chance(p float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.rng.Float64() < p
+}
+
+func (c *chaos) upTo(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return time.Duration(c.rng.Int64N(int64(d)))
+}
+
+// ports loses one in twenty requests and one in ten replies, and now and then pauses
+// between two steps for longer than a reservation lives.
+func (c *chaos) ports(p gang.Ports) gang.Ports {
+	p.Reserve = lossy(c, p.Reserve)
+	p.Arm = lossy(c, p.Arm)
+	p.Go = lossy(c, p.Go)
+	p.Release = lossy(c, p.Release)
+	p.Stop = lossy(c, p.Stop)
+	p.Pause = func(string) {
+		if c.chance(.15) {
+			time.Sleep(c.upTo(1200 * time.Millisecond))
+		}
+	}
+
+	return p
+}
+
+func lossy[In, Out any](c *chaos, f func(context.Context, string, In) (Out, error)) func(context.Context, string, In) (Out, error) {
+	return func(ctx context.Context, w string, in In) (Out, error) {
+		var none Out
+		if c.chance(.05) {
+			return none, errLost
+		}
+		out, err := f(ctx, w, in)
+		if c.chance(.1) {
+			return none, errLost
+		}
+
+		return out, err
+	}
+}
+
+// runFaults submits non-idempotent jobs and gangs while VMs are killed and replaced,
+// the log goes down and loses replies, and workers restart and fall silent. change
+// alters the calls further.
+func runFaults(t *testing.T, seed uint64, patience time.Duration, change func(gang.Ports) gang.Ports) outcome {
+	c := &chaos{rng: rand.New(rand.NewPCG(seed, 3))}
+	ports := func(p gang.Ports) gang.Ports {
+		if change != nil {
+			p = change(p)
+		}
+
+		return c.ports(p)
+	}
+	r := newRig(t, 4, plain("a"))
+	r.start("v0", ports)
+	r.start("v1", ports)
+	stop := make(chan struct{})
+	var wait, faults sync.WaitGroup
+	faults.Go(func() { c.disturb(r, ports, stop) })
+
+	out := outcome{answers: map[code.Code]int{}}
+	var mu sync.Mutex
+	jobs := make([]job.Job, 10)
+	answers := make([]job.Answer, len(jobs))
+	for i := range jobs {
+		jobs[i] = once(jobOf("a", fmt.Sprint("j", i), 1+i%2, 4, 50*time.Millisecond+c.upTo(300*time.Millisecond)))
+		wait.Go(func() {
+			time.Sleep(c.upTo(4 * time.Second))
+			asked := time.Now()
+			a := r.settle(jobs[i], patience)
+			mu.Lock()
+			defer mu.Unlock()
+
+			answers[i] = a
+			out.recovery = append(out.recovery, time.Since(asked))
+		})
+	}
+	wait.Wait()
+	close(stop)
+	faults.Wait()
+	time.Sleep(lease)
+	begun := r.begun()
+	for i, a := range answers {
+		out.answers[a.Code]++
+		if a.Finished.IsZero() {
+			out.open++
+		}
+		out.violations = append(out.violations, judge(jobs[i], a, begun[jobs[i].Key()])...)
+	}
+
+	return out
+}
+
+// judge holds an answer against what the workers' journals say.
+func judge(j job.Job, a job.Answer, begun []standin.Begun) []string {
+	var out []string
+	seen := map[int]int{}
+	for _, b := range begun {
+		seen[b.Member]++
+		if seen[b.Member] > 1 {
+			out = append(out, fmt.Sprintf("%s: member %d began twice", j.Key(), b.Member))
+		}
+	}
+	if len(begun) > 0 && a.Ran == code.RanNo && !a.Finished.IsZero() {
+		out = append(out, fmt.Sprintf("%s: answered %s, but member %d began", j.Key(), a.Code, begun[0].Member))
+	}
+	if len(seen) < j.Shape.Members {
+		for _, b := range begun {
+			if b.Ended.Sub(b.At) > first+lease {
+				out = append(out, fmt.Sprintf("%s: member %d ran alone for %v", j.Key(), b.Member, b.Ended.Sub(b.At)))
+			}
+		}
+	}
+	if a.Code == code.OK && len(seen) != j.Shape.Members {
+		out = append(out, fmt.Sprintf("%s: answered ok, but %d members began", j.Key(), len(seen)))
+	}
+
+	return out
+}
+
+// disturb provokes one failure after the other.
+func (c *chaos) disturb(r *rig, ports func(gang.Ports) gang.Ports, stop chan struct{}) {
+	for n := 2; ; n++ {
+		select {
+		case <-stop:
+			r.log.SetFaults(standinFaults{})
+
+			return
+		case <-time.After(200*time.Millisecond + c.upTo(500*time.Millisecond)):
+		}
+		switch {
+		case c.chance(.35):
+			r.mu.Lock()
+			var victim *serve.VM
+			for _, v := range r.vms {
+				victim = v
+			}
+			r.mu.Unlock()
+			r.launch(r.settings(fmt.Sprint("v", n)), ports)
+			r.kill(victim)
+		case c.chance(.3):
+			r.log.SetFaults(standinFaults{Down: true})
+			time.Sleep(c.upTo(800 * time.Millisecond))
+			r.log.SetFaults(standinFaults{LoseReply: 2})
+		case c.chance(.4):
+			r.workers[fmt.Sprint("w", int(c.upTo(4)))].restart(r.t.Context())
+		default:
+			w := r.workers[fmt.Sprint("w", int(c.upTo(4)))].now.Load()
+			w.SetFaults(standin.Faults{Silent: true})
+			time.Sleep(c.upTo(600 * time.Millisecond))
+			w.SetFaults(standin.Faults{})
+		}
+	}
+}
+
+// TestAtMostOnce provokes failures at every step and requires, by the workers' own
+// journals, that no non-idempotent job begins twice, that "not run" is true, and that
+// no member runs without its gang for longer than its first lease.
+func TestAtMostOnce(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("FAULT_SEEDS"))
+	for seed := range uint64(max(3, seeds)) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			out := runFaults(t, seed, 25*time.Second, nil)
+			t.Logf("violations=%d answers=%v open=%d recovery=%v", len(out.violations), out.answers, out.open, out.recovery)
+			require.Empty(t, out.violations)
+		})
+	}
+}
+
+// TestAtMostOnceCatches takes mechanisms out and requires that the same check finds
+// violations within a few seeds.
+func TestAtMostOnceCatches(t *testing.T) {
+	cases := map[string]func(gang.Ports) gang.Ports{
+		"claim": func(p gang.Ports) gang.Ports {
+			p.Claim = func(context.Context, job.Key, ledger.Claim) (ledger.Verdict, error) { return ledger.Won, nil }
+
+			return p
+		},
+		"unknown token is no proof": func(p gang.Ports) gang.Ports {
+			release := p.Release
+			p.Release = func(ctx context.Context, w string, r port.TokenRequest) (port.Reply, error) {
+				reply, err := release(ctx, w, r)
+				if err != nil || reply.State == port.Missing || reply.State.Began() {
+					reply.State = port.Released
+				}
+
+				return reply, nil
+			}
+
+			return p
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				if out := runFaults(t, seed, 4*time.Second, change); len(out.violations) > 0 {
+					t.Logf("caught at seed %d: %s", seed, out.violations[0])
+
+					return
+				}
+			}
+			require.Fail(t, "the check passes without the mechanism")
+		})
+	}
+}
--- a/internal/run/serve/rig_test.go
+++ b/internal/run/serve/rig_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,17 +46,52 @@
 	logURL  string
 	list    *vms.Service
 	listURL string
-	workers map[string]*worker.Worker
+	workers map[string]*host
 	fleet   contract.Fleet
 	mu      sync.Mutex
 	vms     map[string]*serve.VM
 }
 
+// host is a worker that can be restarted: its journal outlives it.
+type host struct {
+	now  atomic.Pointer[worker.Worker]
+	mu   sync.Mutex
+	past []*worker.Worker
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.now.Load().Handler().ServeHTTP(w, r)
+}
+
+// restart puts a new incarnation in the worker's place; what ran there is gone.
+func (h *host) restart(ctx context.Context) {
+	w := worker.New(8, saving)
+	go w.Run(ctx, 5*time.Millisecond)
+	if old := h.now.Swap(w); old != nil {
+		old.Halt()
+		h.mu.Lock()
+		h.past = append(h.past, old)
+		h.mu.Unlock()
+	}
+}
+
+func (h *host) journal() []worker.Begun {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	out := h.now.Load().Journal()
+	for _, w := range h.past {
+		out = append(out, w.Journal()...)
+	}
+
+	return out
+}
+
 // newRig starts the stand-ins with workers of eight accelerators, six to a rack, and
 // one contract for each name.
 func newRig(t *testing.T, workers int, contracts ...contract.Contract) *rig {
 	r := &rig{
-		t: t, log: standinlog.New(), list: vms.New(0), workers: map[string]*worker.Worker{}, vms: map[string]*serve.VM{},
+		t: t, log: standinlog.New(), list: vms.New(0), workers: map[string]*host{}, vms: map[string]*serve.VM{},
 	}
 	r.logURL = r.host(r.log.Handler())
 	r.listURL = r.host(r.list.Handler())
@@ -63,10 +99,10 @@
 	t.Cleanup(cancel)
 	for i := range workers {
 		name := fmt.Sprint("w", i)
-		w := worker.New(8, saving)
-		go w.Run(ctx, 5*time.Millisecond)
+		w := &host{}
+		w.restart(ctx)
 		r.workers[name] = w
-		r.list.Put(vms.VM{Name: name, Role: "worker", Address: r.host(w.Handler())[len("http://"):]})
+		r.list.Put(vms.VM{Name: name, Role: "worker", Address: r.host(w)[len("http://"):]})
 		if i%6 == 0 {
 			r.fleet.Racks = append(r.fleet.Racks, contract.Rack{Name: fmt.Sprint("r", i/6), Region: "x", Domain: "d"})
 		}
@@ -178,7 +214,7 @@
 func (r *rig) begun() map[job.Key][]worker.Begun {
 	out := map[job.Key][]worker.Begun{}
 	for _, w := range r.workers {
-		for _, b := range w.Journal() {
+		for _, b := range w.journal() {
 			out[b.Key] = append(out[b.Key], b)
 		}
 	}
--- a/internal/standin/worker/http.go
+++ b/internal/standin/worker/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -41,6 +42,7 @@
 		w.mu.Unlock()
 
 		if silent {
+			_, _ = io.Copy(io.Discard, r.Body) // the caller's end is noticed only after its body
 			<-r.Context().Done()
 
 			return
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// Halt ends everything that runs, as a crash would. Nothing can be asked of the
+// worker any more but its journal.
+func (w *Worker) Halt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.advance(time.Now())
+	for _, t := range w.tasks {
+		if t.State.Holds() {
+			w.set(t, port.Stopped)
+		}
+	}
+}
+
 // Journal returns a copy of what has begun here.
 func (w *Worker) Journal() []Begun {
 	w.mu.Lock()
