--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,16 @@
 # model checks the specification of the gang's protocol; it needs spin and cc.
 model:
 	./scripts/model.sh
+
+# capacity measures the slopes that docs/CAPACITY.md is worked out from.
+capacity:
+	go test -run '^$$' -bench Capacity -benchtime 200x ./internal/run/serve
+	go test -run '^$$' -bench Decision -benchtime 20000x ./internal/core/plan
+
+# fuzz plays longer random sequences: make fuzz SEED=7
+fuzz:
+	go test ./internal/core/plan ./internal/core/config -rapid.seed=$(SEED) -rapid.checks=2000 -timeout 60m
+
+# count prints the shares of tests and of code for running at scale.
+count:
+	./scripts/count.sh
--- /dev/null
+++ b/internal/run/serve/capacity_test.go
@@ -0,0 +1,280 @@
+package serve_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/core/contract"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/ledger"
+	"sesameyoke/internal/core/unit"
+	"sesameyoke/internal/peer/entry"
+	"sesameyoke/internal/peer/entry/entrypb"
+	"sesameyoke/internal/peer/log"
+	port "sesameyoke/internal/peer/worker"
+	standinlog "sesameyoke/internal/standin/log"
+	"sesameyoke/internal/standin/worker"
+)
+
+// wire counts the bytes of all connections of a listener, both ways.
+type (
+	wire struct {
+		net.Listener
+		bytes atomic.Int64
+	}
+
+	wireConn struct {
+		net.Conn
+		w *wire
+	}
+)
+
+// Accept wraps the connection.
+func (w *wire) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &wireConn{Conn: c, w: w}, nil
+}
+
+// Read counts.
+func (c *wireConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.w.bytes.Add(int64(n))
+
+	return n, err
+}
+
+// Write counts.
+func (c *wireConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.w.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func serveCounted(b *testing.B, h http.Handler) (*wire, string) {
+	s := httptest.NewUnstartedServer(h)
+	w := &wire{Listener: s.Listener}
+	s.Listener = w
+	s.Start()
+	b.Cleanup(s.Close)
+
+	return w, w.Addr().String()
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkCapacityBeat measures one heartbeat between entry VMs, with headers.
+func BenchmarkCapacityBeat(b *testing.B) {
+	self := entry.Member{Name: "entry-0001", Address: "10.0.0.1:7201", Region: "region-1", Domain: "domain-01", Life: "abcdef012345", Ready: true, Config: 1 << 30, Jobs: 1 << 30}
+	m := &entry.Members{Self: func() entry.Member { return self }, Seeds: func() []string { return nil }, Suspect: time.Hour, Call: time.Second, Now: time.Now}
+	m.Start(entry.NewClient(time.Second))
+	w, addr := serveCounted(b, (&entry.Server{Members: m}).Handler())
+	peer := m.Peer(addr)
+	other := self
+	other.Name = "entry-0002"
+	began := cpu()
+	for range b.N {
+		_, err := peer.Beat(context.Background(), entry.ToProto(other))
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(w.bytes.Load())/float64(b.N), "wire-B/op")
+	b.ReportMetric(float64((cpu()-began).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkCapacityRenew measures one renewal of a worker with so many tasks, of
+// which one has changed, with headers; the processor time is both sides'.
+func BenchmarkCapacityRenew(b *testing.B) {
+	for _, tasks := range []int{1, 4, 16} {
+		b.Run(fmt.Sprint("tasks=", tasks), func(b *testing.B) {
+			w := worker.New(64, saving)
+			for i := range tasks {
+				r := port.ReserveRequest{Token: fmt.Sprint("0123456789abcdef.", i), First: i, Width: 1, Members: 1, TTL: unit.Seconds(3600), Key: job.Key{Workspace: "workspace", ID: fmt.Sprint("request-", i)}}
+				w.Reserve(r)
+			}
+			count, addr := serveCounted(b, w.Handler())
+			c := port.NewClient(time.Second)
+			rep, err := c.Renew(context.Background(), addr, port.RenewRequest{TTL: unit.Seconds(8)})
+			require.NoError(b, err)
+			before := count.bytes.Load()
+			began := cpu()
+			for range b.N {
+				_, err := c.Renew(context.Background(), addr, port.RenewRequest{TTL: unit.Seconds(8), Life: rep.Life, Since: rep.Version - 1})
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(count.bytes.Load()-before)/float64(b.N), "wire-B/op")
+			b.ReportMetric(float64((cpu()-began).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkCapacityAppend commits so many records at once to a log that takes 5 ms
+// for an append, and counts the appends.
+func BenchmarkCapacityAppend(b *testing.B) {
+	for _, clients := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint("clients=", clients), func(b *testing.B) {
+			s := standinlog.New()
+			s.SetFaults(standinFaults{Slow: 5 * time.Millisecond})
+			_, addr := serveCounted(b, s.Handler())
+			c := &log.Client{Base: "http://" + addr, HTTP: http.DefaultClient, Timeout: 5 * time.Second}
+			w := log.NewWriter("jobs", c)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go w.Run(ctx)
+			seen := make(chan struct{})
+			close(seen)
+			b.ResetTimer()
+			for range b.N {
+				var wait sync.WaitGroup
+				for range clients {
+					wait.Go(func() { _, _ = log.Commit(ctx, w, make([]byte, 600), seen) })
+				}
+				wait.Wait()
+			}
+			b.ReportMetric(float64(s.Appends())/float64(b.N), "appends/op")
+		})
+	}
+}
+
+// BenchmarkCapacityInForce measures the time from a change's append until so many
+// readers of the log have applied it.
+func BenchmarkCapacityInForce(b *testing.B) {
+	for _, readers := range []int{8, 32, 128} {
+		b.Run(fmt.Sprint("readers=", readers), func(b *testing.B) {
+			s := standinlog.New()
+			_, addr := serveCounted(b, s.Handler())
+			hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+			c := &log.Client{Base: "http://" + addr, HTTP: hc, Timeout: 5 * time.Second}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			applied := make(chan int64, 1024)
+			for range readers {
+				state := config.New()
+				t := &log.Tail{Stream: "config", Client: c, Apply: func(o int64, raw []byte) {
+					state = state.Apply(o, raw)
+					applied <- o
+				}}
+				t.Start()
+				go t.Run(ctx)
+			}
+			time.Sleep(100 * time.Millisecond)
+			b.ResetTimer()
+			for i := range b.N {
+				ch := policyChange(int64(i), "op", .1)
+				ch.Sign()
+				raw, err := json.Marshal(ch)
+				require.NoError(b, err)
+				_, err = c.Append(ctx, "config", [][]byte{raw})
+				require.NoError(b, err)
+				for range readers {
+					<-applied
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityLedger measures the memory of one open job, and the time for an
+// empty VM to take over the state by a snapshot over HTTP.
+func BenchmarkCapacityLedger(b *testing.B) {
+	for _, jobs := range []int{1000, 10000, 50000} {
+		b.Run(fmt.Sprint("jobs=", jobs), func(b *testing.B) {
+			before := heap()
+			l := ledger.New(func() time.Duration { return time.Hour })
+			for i := range jobs {
+				j := jobOf("workspace", fmt.Sprint("request-", i), 4, 8, time.Hour)
+				j.Payload = string(make([]byte, 600))
+				raw, err := json.Marshal(ledger.Record{ID: fmt.Sprint(i), Kind: ledger.KindOpen, Time: time.Now(), Key: j.Key(), Job: &j})
+				require.NoError(b, err)
+				l.Apply(int64(i), raw)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(jobs), "heap-B/job")
+			tail := &log.Tail{Dump: l.Dump, Apply: func(int64, []byte) {}}
+			tail.Start()
+			m := &entry.Members{Self: func() entry.Member { return entry.Member{} }}
+			m.Start(&http.Client{Timeout: time.Minute})
+			_, addr := serveCounted(b, (&entry.Server{Members: m, Tail: func(string) *log.Tail { return tail }}).Handler())
+			size := 0
+			b.ResetTimer()
+			for range b.N {
+				snap, err := m.Peer(addr).Snapshot(context.Background(), &entrypb.SnapshotRequest{Stream: "jobs"})
+				require.NoError(b, err)
+				size = len(snap.State)
+				fresh := ledger.New(l.Keep)
+				require.NoError(b, fresh.Load(snap.State))
+				require.Equal(b, jobs, fresh.Open())
+			}
+			b.ReportMetric(float64(size)/1e6, "state-MB")
+			runtime.KeepAlive(l)
+		})
+	}
+}
+
+// BenchmarkCapacityConfig measures one change of configuration with 96 contracts and
+// a fleet of so many workers.
+func BenchmarkCapacityConfig(b *testing.B) {
+	for _, workers := range []int{50, 5000, 20000} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			s := config.New()
+			f := &contract.Fleet{}
+			for i := range workers {
+				if i%24 == 0 {
+					f.Racks = append(f.Racks, contract.Rack{Name: fmt.Sprint("r", i/24), Region: "x", Domain: "d"})
+				}
+				r := &f.Racks[len(f.Racks)-1]
+				r.Workers = append(r.Workers, contract.Worker{Name: fmt.Sprint("w", i), Accelerators: 2})
+			}
+			apply := func(ch config.Change) {
+				ch.Author = "op"
+				ch.Base = s.Version(ch.Subject())
+				ch.Sign()
+				raw, err := json.Marshal(ch)
+				require.NoError(b, err)
+				s = s.Apply(s.Offset+1, raw)
+			}
+			apply(config.Change{Kind: config.KindFleet, Fleet: f})
+			for i := range 96 {
+				c := plain(fmt.Sprint("ws", i))
+				if workers > 1000 {
+					c.Promises = []contract.Promise{{Blocks: 4, Width: 16}}
+				}
+				apply(config.Change{Kind: config.KindContract, Contract: &c})
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				c := s.Contracts[fmt.Sprint("ws", i%96)]
+				c.Queue++
+				apply(config.Change{Kind: config.KindContract, Contract: &c})
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/run/serve/config_test.go
@@ -0,0 +1,318 @@
+package serve_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/run/serve"
+)
+
+// slowLog returns the URL of a log whose reads take so long.
+func (r *rig) slowLog(delay time.Duration) string {
+	to, err := url.Parse(r.logURL)
+	require.NoError(r.t, err)
+	proxy := httputil.NewSingleHostReverseProxy(to)
+
+	return r.host(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case <-time.After(delay):
+			proxy.ServeHTTP(w, q)
+		case <-q.Context().Done():
+		}
+	}))
+}
+
+// inForce returns how long it takes until all VMs have applied an offset.
+func inForce(r *rig, offset int64, all ...*serve.VM) time.Duration {
+	began := time.Now()
+	for _, vm := range all {
+		for {
+			c, err := r.operator(vm).Config(context.Background())
+			if err == nil && c.Offset >= offset {
+				break
+			}
+			if time.Since(began) > 3*time.Second {
+				return time.Since(began)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+
+	return time.Since(began)
+}
+
+func policyChange(base int64, author string, budget float64) config.Change {
+	p := config.Policy{Budget: budget}
+	p.Defaults()
+
+	return config.Change{Kind: config.KindPolicy, Author: author, Base: base, Policy: &p}
+}
+
+// TestInForce accepts changes while one VM reads the log slowly, and requires that
+// each is in force everywhere within seconds. Without peers the same check fails.
+func TestInForce(t *testing.T) {
+	slowBy := func(name string, r *rig, peers bool) *serve.VM {
+		s := r.settings(name)
+		s.Log = r.slowLog(4 * time.Second)
+		if !peers {
+			s.VMs = r.host(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) }))
+			s.Listen = "127.0.0.1:0"
+		}
+
+		return r.launch(s, nil)
+	}
+	worst := func(peers bool) time.Duration {
+		r := newRig(t, 1, plain("a"))
+		x, y := r.start("x", nil), r.start("y", nil)
+		slow := slowBy("slow", r, peers)
+		if !peers {
+			r.list.Remove("slow")
+		}
+		time.Sleep(300 * time.Millisecond)
+		var longest time.Duration
+		base := int64(0)
+		for i := range 3 {
+			e, err := r.operator(x).Publish(context.Background(), policyChange(base, "op", .01+float64(i)/100))
+			require.NoError(t, err)
+			require.Equal(t, code.Accepted, e.Code, e.Reason)
+			base = e.Offset + 1
+			longest = max(longest, inForce(r, e.Offset, x, y, slow))
+		}
+
+		return longest
+	}
+	with := worst(true)
+	t.Logf("in force everywhere after %v at most", with)
+	require.Less(t, with, 2*time.Second)
+	require.Greater(t, worst(false), 2*time.Second, "the check passes without the peers")
+}
+
+// TestOperatorsRace lets operators amend one contract at the same base through
+// different VMs: one is accepted, and all VMs say the same.
+func TestOperatorsRace(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	vms := []*serve.VM{r.start("x", nil), r.start("y", nil), r.start("z", nil)}
+	r.log.SetFaults(standinFaults{LoseReply: 2})
+	entries := make([]config.Entry, 6)
+	var wait sync.WaitGroup
+	for i := range entries {
+		wait.Go(func() {
+			entries[i], _ = r.operator(vms[i%3]).Publish(context.Background(), policyChange(0, fmt.Sprint("op", i), .1+float64(i)/100))
+		})
+	}
+	wait.Wait()
+	accepted := 0
+	for _, e := range entries {
+		switch e.Code {
+		case code.Accepted:
+			accepted++
+		case code.StaleBase:
+		default:
+			require.Fail(t, "verdict", "%s %s", e.Code, e.Reason)
+		}
+	}
+	require.Equal(t, 1, accepted)
+	inForce(r, entries[5].Offset, vms...)
+	var trails []string
+	for _, vm := range vms {
+		a, err := r.operator(vm).Audit(context.Background(), 0, 100)
+		require.NoError(t, err)
+		b, err := json.Marshal(a)
+		require.NoError(t, err)
+		trails = append(trails, string(b))
+	}
+	require.Equal(t, trails[0], trails[1])
+	require.Equal(t, trails[0], trails[2])
+}
+
+// TestPublishAgain publishes a change while the log is down, and again after.
+func TestPublishAgain(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	x := r.start("x", nil)
+	ch := policyChange(0, "op", .3)
+	r.log.SetFaults(standinFaults{Down: true})
+	e, err := r.operator(x).Publish(context.Background(), ch)
+	require.NoError(t, err)
+	require.Equal(t, code.LogDown, e.Code)
+	r.log.SetFaults(standinFaults{LoseReply: 1})
+	for range 2 {
+		e, err = r.operator(x).Publish(context.Background(), ch)
+		require.NoError(t, err)
+		require.Equal(t, code.Accepted, e.Code, e.Reason)
+	}
+}
+
+// TestJoin lets empty VMs join: from a log that has forgotten its beginning, and,
+// with the log down, from a peer. Configuration and jobs are all there, and no VM's
+// offset ever falls.
+func TestJoin(t *testing.T) {
+	r := newRig(t, 2, plain("a"))
+	r.log.Retain = 160
+	x := r.start("x", nil)
+	keep := once(jobOf("a", "keep", 1, 1, 10*time.Millisecond))
+	a, err := r.caller(x).Submit(context.Background(), keep, 10*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, code.OK, a.Code)
+	var wait sync.WaitGroup
+	for i := range 150 {
+		wait.Go(func() {
+			_, _ = r.caller(x).Submit(context.Background(), jobOf("a", fmt.Sprint("j", i), 1, 1, time.Millisecond), 20*time.Second)
+			if i%10 == 0 {
+				_, _ = r.operator(x).Publish(context.Background(), policyChange(99, fmt.Sprint("op", i), .1))
+			}
+		})
+	}
+	wait.Wait()
+	offset := func(vm *serve.VM) int64 {
+		all, err := r.operator(vm).VMs(context.Background())
+		require.NoError(t, err)
+		for _, m := range all {
+			if m.Name == vm.Settings.Name {
+				return m.Jobs
+			}
+		}
+
+		return -1
+	}
+	before := offset(x)
+	require.Greater(t, before, int64(300))
+	// Alone, from the log: x is gone, and the first records have expired.
+	require.Eventually(t, func() bool { return len(r.log.Records("jobs")) == 160 }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // the last snapshot is written
+	r.kill(x)
+	y := r.start("y", nil)
+	require.Eventually(t, func() bool { return offset(y) >= before }, 2*time.Second, 10*time.Millisecond)
+	b, err := r.caller(y).Submit(context.Background(), keep, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, a.Digest, b.Digest, b.Reason)
+	// With the log down, from a peer.
+	r.log.SetFaults(standinFaults{Down: true})
+	z := r.start("z", nil)
+	require.Eventually(t, func() bool { return offset(z) >= before }, 2*time.Second, 10*time.Millisecond)
+	c, err := r.caller(z).Wait(context.Background(), keep.Key(), 0)
+	require.NoError(t, err)
+	require.Equal(t, a.Digest, c.Digest)
+	require.Len(t, r.begun()[keep.Key()], 1)
+}
+
+// TestNotReady starts a VM that sees neither the log nor a peer.
+func TestNotReady(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	r.log.SetFaults(standinFaults{Down: true})
+	vm := r.launch(r.settings("x"), nil)
+	time.Sleep(500 * time.Millisecond)
+	resp, err := http.Get("http://" + vm.Address() + "/readyz")
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	a, err := r.caller(vm).Submit(context.Background(), jobOf("a", "j", 1, 1, time.Millisecond), 0)
+	require.NoError(t, err)
+	require.Equal(t, code.NotReady, a.Code)
+}
+
+// TestLogDown keeps serving short idempotent work while the log is down; work that
+// must not run twice waits and is answered once the log is back.
+func TestLogDown(t *testing.T) {
+	r := newRig(t, 2, plain("a"))
+	x, y := r.start("x", nil), r.start("y", nil)
+	pay := once(jobOf("a", "pay", 1, 8, 10*time.Millisecond))
+	block := jobOf("a", "block", 1, 8, 600*time.Millisecond)
+	_, err := r.caller(x).Submit(context.Background(), block, 0)
+	require.NoError(t, err)
+	r.log.SetFaults(standinFaults{Down: true})
+	time.Sleep(200 * time.Millisecond)
+	for i, vm := range []*serve.VM{x, y} {
+		a, err := r.caller(vm).Submit(context.Background(), jobOf("a", fmt.Sprint("short", i), 1, 2, 20*time.Millisecond), 5*time.Second)
+		require.NoError(t, err)
+		require.NoError(t, ownAnswer(a, job.Key{Workspace: "a", ID: fmt.Sprint("short", i)}))
+	}
+	a, err := r.caller(y).Submit(context.Background(), pay, 0)
+	require.NoError(t, err)
+	require.Equal(t, code.LogDown, a.Code)
+	require.Equal(t, code.RanNo, a.Ran)
+	require.Empty(t, r.begun()[pay.Key()])
+	r.log.SetFaults(standinFaults{})
+	require.Equal(t, code.OK, r.settle(pay, 10*time.Second).Code)
+	require.Equal(t, code.OK, r.settle(block, 10*time.Second).Code)
+	require.Len(t, r.begun()[pay.Key()], 1)
+}
+
+type register struct {
+	publish bool
+	base    int64
+}
+
+// TestLinearizable records publications and reads through different VMs and checks
+// the history with porcupine: the policy is one register, replaced only on top of
+// the version that the operator has seen; reads ask the VM that has just published,
+// so they may not be older than its own last verdict.
+func TestLinearizable(t *testing.T) {
+	r := newRig(t, 1, plain("a"))
+	vms := []*serve.VM{r.start("x", nil), r.start("y", nil)}
+	began := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wait sync.WaitGroup
+	for client := range 4 {
+		wait.Go(func() {
+			base := int64(0)
+			for i := range 5 {
+				call := time.Since(began).Nanoseconds()
+				e, err := r.operator(vms[client%2]).Publish(context.Background(), policyChange(base, fmt.Sprintf("op%d-%d", client, i), .1))
+				if err != nil || e.Code != code.Accepted && e.Code != code.StaleBase {
+					continue
+				}
+				out := int64(-1)
+				if e.Code == code.Accepted {
+					out = e.Offset + 1
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: register{publish: true, base: base}, Output: out,
+					Call: call, Return: time.Since(began).Nanoseconds(),
+				})
+				mu.Unlock()
+				if c, err := r.operator(vms[client%2]).Config(context.Background()); err == nil {
+					base = c.Versions["policy"]
+				}
+			}
+		})
+	}
+	wait.Wait()
+	model := porcupine.Model{
+		Init: func() any { return int64(0) },
+		Step: func(state, input, output any) (bool, any) {
+			in, out := input.(register), output.(int64)
+			if out < 0 {
+				return in.base != state.(int64), state
+			}
+
+			return in.base == state.(int64) && out > in.base, out
+		},
+	}
+	require.True(t, porcupine.CheckOperations(model, history))
+	// The check can fail: two publications accepted on one base.
+	double := append([]porcupine.Operation(nil), history...)
+	for _, op := range history {
+		if op.Output.(int64) > 0 {
+			op.Output = op.Output.(int64) + 1000
+			double = append(double, op)
+
+			break
+		}
+	}
+	require.False(t, porcupine.CheckOperations(model, double))
+}
--- a/internal/run/serve/peers.go
+++ b/internal/run/serve/peers.go
@@ -208,7 +208,7 @@
 	}
 	p = planner.New(planner.Config{
 		Self: v.Settings.Name, Region: region, Timing: v.Settings.Timing, Ledger: v.ledger,
-		Rules: v.config.get, Planning: func() bool { return v.plans(region) },
+		Rules: v.config.get, Planning: func() bool { return v.Plans(region) },
 		Address: func(w string) string { return v.list.get(w).Address },
 		Leaving: func(w string) bool { return v.list.get(w).Leaving },
 		Workers: v.workers, LogAlive: v.logAlive, Commit: v.commit, Timer: v.timer,
@@ -232,8 +232,8 @@
 	return out
 }
 
-// plans reports whether this VM is the planner of a region.
-func (v *VM) plans(region string) bool {
+// Plans reports whether this VM is the planner of a region.
+func (v *VM) Plans(region string) bool {
 	m, ok := v.members.Planner(region)
 
 	return ok && m.Name == v.Settings.Name
--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -228,7 +228,7 @@
 	operators.Routes(r)
 	peers := &entry.Server{
 		Members: v.members, Tail: func(s string) *log.Tail { return v.tails[s] },
-		Offer: v.takeOffer, Plans: v.plans, Racks: v.ownRacks,
+		Offer: v.takeOffer, Plans: v.Plans, Racks: v.ownRacks,
 	}
 	r.Handle("/twirp/*", peers.Handler())
 	r.Handle("/metrics", v.metrics.Handler)
