--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 # capacity measures the slopes that docs/CAPACITY.md is worked out from.
 capacity:
 	go test -run '^$$' -bench 'Capacity(Beat|Renew|Append|InForce)' -benchtime 100x ./internal/run/serve
-	go test -run '^$$' -bench 'Capacity(Ledger|Config)' -benchtime 5x ./internal/run/serve
+	go test -run '^$$' -bench 'Capacity(Ledger|Config|Drain)' -benchtime 5x ./internal/run/serve
 	go test -run '^$$' -bench Decision -benchtime 20000x ./internal/core/plan
 
 # fuzz plays longer random sequences: make fuzz SEED=7
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -90,7 +90,7 @@
 func TestFoldIsDeterministic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := config.New(), config.New()
-		var raws [][]byte
+		raws := make([][]byte, 0, 30)
 		for range rapid.IntRange(1, 30).Draw(t, "changes") {
 			raw := changeOf(t, drawChange(t, a))
 			if len(raws) > 0 && rapid.Float64().Draw(t, "repeat") < .2 {
--- a/internal/core/plan/order.go
+++ b/internal/core/plan/order.go
@@ -95,9 +95,12 @@
 
 			continue
 		}
+		i++
+		if !s.hopeful(it) {
+			continue
+		}
 		g.order = it.score + s.sharePenalty(g.key.workspace)
 		r = append(r, g)
-		i++
 	}
 	heap.Init(&r)
 	s.ranked = r
@@ -105,6 +108,16 @@
 	return r
 }
 
+// hopeful reports whether this pass could do anything for a job.
+func (s *State) hopeful(it *item) bool {
+	return it.size <= s.racks.usable || len(s.blocks[it.Key.Workspace]) > 0 || s.maySearch(it)
+}
+
+// maySearch reports whether it is time to look for jobs to give way to this one.
+func (s *State) maySearch(it *item) bool {
+	return it.searched == 0 || s.now-it.searched >= searchPause
+}
+
 func (s *State) retire(i int) {
 	g := s.active[i]
 	last := len(s.active) - 1
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -78,7 +78,7 @@
 	if s.reclaim(it) {
 		return true
 	}
-	if *preempts == 0 || it.searched > 0 && s.now-it.searched < searchPause {
+	if *preempts == 0 || !s.maySearch(it) {
 		return false
 	}
 	*preempts--
--- a/internal/run/serve/capacity_test.go
+++ b/internal/run/serve/capacity_test.go
@@ -280,3 +280,62 @@
 
 	return m.HeapAlloc
 }
+
+// BenchmarkCapacityDrain measures the graceful shutdown of a VM to which twenty
+// callers keep sending long polls on kept-alive connections; a caller goes to another
+// VM when a reply asks it to reconnect, or its connection breaks.
+func BenchmarkCapacityDrain(b *testing.B) {
+	for _, silent := range []bool{false, true} {
+		b.Run(fmt.Sprint("asks=", !silent), func(b *testing.B) {
+			var total time.Duration
+			broken := atomic.Int64{}
+			for range b.N {
+				total += drainOnce(b, silent, &broken)
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "drain-s/op")
+			b.ReportMetric(float64(broken.Load())/float64(b.N), "broken/op")
+		})
+	}
+}
+
+func drainOnce(b *testing.B, silent bool, broken *atomic.Int64) time.Duration {
+	r := newRig(b, 1, plain("a"))
+	x, y := r.start("x", nil), r.start("y", nil)
+	x.Silent = silent
+	_, err := r.caller(y).Submit(context.Background(), jobOf("a", "long", 1, 1, time.Hour), 0)
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for range 20 {
+		wait.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			at := x.Address()
+			for ctx.Err() == nil {
+				req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/v1/jobs/a/long?wait=100ms", nil)
+				resp, err := client.Do(req)
+				if err != nil {
+					if ctx.Err() == nil {
+						broken.Add(1)
+					}
+					at = y.Address()
+
+					continue
+				}
+				_ = resp.Body.Close()
+				if resp.Close {
+					at = y.Address()
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	limit, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	x.Shutdown(limit)
+	stop()
+	took := time.Since(began)
+	cancel()
+	wait.Wait()
+
+	return took
+}
--- a/internal/run/serve/rig_test.go
+++ b/internal/run/serve/rig_test.go
@@ -41,7 +41,7 @@
 // rig is a small deployment: stand-ins of the platform and real entry VMs, all in
 // this process, over TCP on 127.0.0.1.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	log     *standinlog.Service
 	logURL  string
 	list    *vms.Service
@@ -89,7 +89,7 @@
 
 // newRig starts the stand-ins with workers of eight accelerators, six to a rack, and
 // one contract for each name.
-func newRig(t *testing.T, workers int, contracts ...contract.Contract) *rig {
+func newRig(t testing.TB, workers int, contracts ...contract.Contract) *rig {
 	r := &rig{
 		t: t, log: standinlog.New(), list: vms.New(0), workers: map[string]*host{}, vms: map[string]*serve.VM{},
 	}
--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -51,6 +51,7 @@
 	VM struct {
 		Settings settings.Settings
 		Log      *plog.Logger
+		Silent   bool                        // does not ask callers to reconnect, to measure what asking gains
 		Ports    func(gang.Ports) gang.Ports // changes the planners' calls, for tests
 
 		life     string
@@ -218,7 +219,7 @@
 	r := chi.NewRouter()
 	callers := &caller.API{
 		Body: v.Settings.Limits.Body, Hold: v.Settings.Limits.Hold.Duration, Enter: v.enter,
-		Leaving: v.leaving.Load, Submit: v.submit, Wait: v.wait, Cancel: v.cancel, List: v.listJobs,
+		Leaving: v.asksToReconnect, Submit: v.submit, Wait: v.wait, Cancel: v.cancel, List: v.listJobs,
 	}
 	callers.Routes(r)
 	operators := &operator.API{
@@ -238,6 +239,10 @@
 	return r
 }
 
+func (v *VM) asksToReconnect() bool {
+	return v.leaving.Load() && !v.Silent
+}
+
 func (v *VM) readyz(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case v.leaving.Load():
