--- a/internal/core/plan/tuning.go
+++ b/internal/core/plan/tuning.go
@@ -30,7 +30,7 @@
 // Tune returns the numbers for a policy.
 func Tune(p config.Policy) Tuning {
 	t := Tuning{
-		Scale: 20, Power: 0.8, Cap: 7 * 24 * time.Hour, Margin: 0.5, Gain: 120, Rest: 10 * time.Minute,
+		Scale: 30, Power: 0.8, Cap: 7 * 24 * time.Hour, Margin: 0.5, Gain: 120, Rest: 10 * time.Minute,
 		Share: 60, Hold: 4 * time.Hour, Overhead: 40 * time.Second, MaxDrains: 1, MoveFloor: 0.25,
 		budgetSpan: 1800, maxRetry: 5 * time.Minute, minRetry: time.Second,
 	}
