--- a/internal/run/serve/jobs.go
+++ b/internal/run/serve/jobs.go
@@ -24,7 +24,7 @@
 // submit accepts a job and waits for its answer. Accepted means that the job's
 // record is in the log.
 func (v *VM) submit(ctx context.Context, j job.Job, wait time.Duration) job.Answer {
-	if !v.ready.Load() {
+	if !v.awaitReady(ctx) {
 		return job.Conclude(j.Key(), code.NotReady, "this VM has not caught up with the configuration")
 	}
 	j.Submitted = v.timer.Now()
@@ -57,6 +57,19 @@
 	return job.Conclude(j.Key(), code.Unknown, "the log service did not answer; submit the same request again")
 }
 
+// awaitReady waits a little for a VM that has just started, and reports whether it
+// has caught up.
+func (v *VM) awaitReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, v.Settings.Timing.Accept.Duration)
+	defer cancel()
+
+	for !v.ready.Load() && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+
+	return v.ready.Load()
+}
+
 // admit refuses what can be refused at once, or returns nil.
 func (v *VM) admit(j job.Job) *job.Answer {
 	state := v.config.get()
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/url"
 	"os"
+	"regexp"
+	"sort"
 	"strings"
 	"time"
 
@@ -19,6 +21,9 @@
 // minToken is the shortest token of operators, in characters.
 const minToken = 8
 
+// unknownKey matches what the YAML library says of a key that no field takes.
+var unknownKey = regexp.MustCompile(`field (\S+) not found in type \S+`)
+
 type (
 	// Timing holds the intervals of an entry VM.
 	Timing struct {
@@ -186,7 +191,7 @@
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
 	dec.KnownFields(true)
 	if err := dec.Decode(v); err != nil {
-		return errors.Errorf("%s: %v", path, err)
+		return errors.Errorf("%s: %s", path, unknownKey.ReplaceAllString(err.Error(), "$1 is not a known key"))
 	}
 	err = finish()
 	faults, ok := err.(unit.Faults)
@@ -203,6 +208,14 @@
 		return faults.Error()
 	}
 	lines := make([]string, 0, len(faults))
+	sort.SliceStable(faults, func(i, j int) bool {
+		a, b := lineOf(&root, faults[i].Field), lineOf(&root, faults[j].Field)
+		if a != b {
+			return a < b
+		}
+
+		return faults[i].Field < faults[j].Field
+	})
 	for _, f := range faults {
 		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", path, lineOf(&root, f.Field), f.Field, f.Reason))
 	}
