Void a claim by its token, not by its attempt's number

A planner whose reservation was refused wrote a void for attempt 1, which another planner had claimed and started under the same number; the claim was gone and the job could be claimed again. The model had the claim's holder in its fold; the code did not. Ruled out: the release order and the workers' answers (trace: go was sent, the reply lost, the claim stood until the foreign void). Conclusion: names in the log have to be unique to their writer.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -185,7 +185,7 @@
 	case KindClaim:
 		return e.claim(r.Claim)
 	case KindVoid:
-		return e.void(r.Attempt)
+		return e.void(r.Token)
 	case KindBegin:
 		return set(&e.Begun)
 	case KindCancel:
@@ -209,9 +209,10 @@
 	return true
 }
 
-// void ends a claim whose attempt has never started.
-func (e *Entry) void(attempt int) bool {
-	if e.Claim == nil || e.Claim.Attempt != attempt {
+// void ends a claim whose gang has never started. It names the claim by its first
+// token: two planners may have made the same attempt, and only one holds the claim.
+func (e *Entry) void(token string) bool {
+	if e.Claim == nil || e.Claim.Members[0].Token != token {
 		return false
 	}
 	e.Claim = nil
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -18,7 +18,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // TestLedger runs the scripts of testdata. Each line of "fold" is a record:
-// KIND JOB [attempt=N] [code=NAME] [once] [at=DURATION]; the output is its verdict.
+// KIND JOB [attempt=N] [token=T] [code=NAME] [once] [at=DURATION]; the output is its verdict.
 func TestLedger(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		l := ledger.New(func() time.Duration { return time.Hour })
@@ -50,13 +50,15 @@
 		ID: fmt.Sprint("r", offset), Kind: ledger.Kind(words[0]), Time: start,
 		Key: job.Key{Workspace: "w", ID: words[1]},
 	}
-	attempt, once, result := 1, false, code.OK
+	attempt, token, once, result := 1, "t1", false, code.OK
 	for _, w := range words[2:] {
 		name, value, _ := strings.Cut(w, "=")
 		switch name {
 		case "attempt":
 			_, err := fmt.Sscan(value, &attempt)
 			require.NoError(t, err)
+		case "token":
+			token = value
 		case "once":
 			once = true
 		case "at":
@@ -75,9 +77,9 @@
 	case ledger.KindOpen:
 		r.Job = &job.Job{Workspace: "w", ID: words[1], Idempotent: !once}
 	case ledger.KindClaim:
-		r.Claim = &ledger.Claim{Attempt: attempt, Members: []ledger.Member{{Worker: "x"}}}
+		r.Claim = &ledger.Claim{Attempt: attempt, Members: []ledger.Member{{Worker: "x", Token: token}}}
 	case ledger.KindVoid:
-		r.Attempt = attempt
+		r.Token = token
 	case ledger.KindClose:
 		a := job.Conclude(r.Key, result, "")
 		a.Attempt, a.Finished = attempt, r.Time
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -59,15 +59,15 @@
 
 	// Record is one entry of the jobs stream.
 	Record struct {
-		ID      string      `json:"id"` // unique; a repeated append has no second effect
-		Kind    Kind        `json:"kind"`
-		Time    time.Time   `json:"time"`
-		Key     job.Key     `json:"key"`
-		Attempt int         `json:"attempt,omitempty"` // of void
-		Job     *job.Job    `json:"job,omitempty"`
-		Claim   *Claim      `json:"claim,omitempty"`
-		Save    *Save       `json:"save,omitempty"`
-		Answer  *job.Answer `json:"answer,omitempty"`
+		ID     string      `json:"id"` // unique; a repeated append has no second effect
+		Kind   Kind        `json:"kind"`
+		Time   time.Time   `json:"time"`
+		Key    job.Key     `json:"key"`
+		Token  string      `json:"token,omitempty"` // of void: the first token of the claim
+		Job    *job.Job    `json:"job,omitempty"`
+		Claim  *Claim      `json:"claim,omitempty"`
+		Save   *Save       `json:"save,omitempty"`
+		Answer *job.Answer `json:"answer,omitempty"`
 	}
 
 	// Entry is what the log says about one job. An Entry is never changed.
--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -162,11 +162,13 @@
 		return // settleClaims or submitOpen take it up again
 	}
 	e := s.p.Ledger.Get(r.key)
-	if e != nil && e.Claim != nil && e.Claim.Attempt == r.gang.Attempt {
+	if e != nil && e.Claim != nil {
 		s.event(plan.Event{Kind: plan.Withdraw, Key: r.key})
-		s.void(r.key, r.gang.Attempt)
+		if r.owns(e.Claim.Members[0].Token) {
+			s.void(r.key, e.Claim)
+		}
 
-		return
+		return // another planner's claim is for settleClaims
 	}
 	go func() {
 		wait(s.ctx, busyPause)
@@ -174,11 +176,11 @@
 	}()
 }
 
-// void writes that a claimed attempt has never started and never will.
-func (s *session) void(k job.Key, attempt int) {
+// void writes that the gang of a claim has never started and never will.
+func (s *session) void(k job.Key, c *ledger.Claim) {
 	s.settles[k] = true
 	go func() {
-		s.commit(ledger.Record{Kind: ledger.KindVoid, Key: k, Attempt: attempt})
+		s.commit(ledger.Record{Kind: ledger.KindVoid, Key: k, Token: c.Members[0].Token})
 		s.send(func(s *session) { delete(s.settles, k) })
 	}()
 }
--- a/internal/run/planner/takeover.go
+++ b/internal/run/planner/takeover.go
@@ -170,7 +170,7 @@
 	r := &run{key: k, id: attemptOf(g.Members[0].Token), gang: g, began: s.p.Timer.Now(), states: make([]worker.Task, len(g.Members))}
 	switch res.Outcome {
 	case gang.NotStarted:
-		s.void(k, claim.Attempt)
+		s.void(k, claim)
 	case gang.Started, gang.Broken:
 		s.runs[k] = r
 		s.adoptRun(r)
--- a/model/gang.pml
+++ b/model/gang.pml
@@ -15,6 +15,7 @@
  *   -DNO_GO_CHECK   a worker starts a token that is not armed
  *   -DNO_ORDER      go visits the members in the reverse order of release
  *   -DDEAD_IS_PROOF a worker that has forgotten a token is taken to say "released"
+ *   -DNO_HOLDER     the ledger voids a claim by its attempt's number, whoever holds it
  *   -DNO_ADMIT      the ledger takes "not run" while a claim stands
  */
 #define TOKENS 3 /* one gang of tokens for each try: the first coordinator has one, the second two */
@@ -96,7 +97,11 @@
 }
 
 inline fold_void(k, att) {
-  if :: answer == OPEN && holder == k && attempts == att -> holder = NOBODY :: else fi
+#ifdef NO_HOLDER
+  if :: answer == OPEN && holder != NOBODY && attempts == att -> holder = NOBODY :: else fi
+#else
+  if :: answer == OPEN && holder == k -> holder = NOBODY :: else fi
+#endif
 }
 
 inline fold_close(a) {
@@ -204,7 +209,10 @@
      atomic { if :: FREE0 && tok0[k] == NONE -> tok0[k] = RESERVED :: else -> ok = false fi }
      atomic { if :: FREE1 && tok1[k] == NONE -> tok1[k] = RESERVED :: else -> ok = false fi }
      if
-     :: !ok -> release(k)
+     :: !ok ->
+        release(k);
+        /* nothing was claimed; a void that is written all the same must do no harm */
+        if :: true -> atomic { fold_void(k, try_no + 1) } :: true -> skip fi
      :: else ->
         won = true; lost = false;
 #ifndef NO_CLAIM
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -26,7 +26,7 @@
 echo "== the protocol as it is"
 verify plain | tee "$OUT/figures"
 grep -q "errors: 0" "$OUT/figures" || { echo "a counterexample was found" >&2; exit 1; }
-for m in NO_CLAIM NO_ARM_CHECK NO_GO_CHECK NO_ORDER DEAD_IS_PROOF NO_ADMIT; do
+for m in NO_CLAIM NO_ARM_CHECK NO_GO_CHECK NO_ORDER DEAD_IS_PROOF NO_HOLDER NO_ADMIT; do
   echo "== without its mechanism: $m"
   verify "$m" "-D$m" | tee "$OUT/figures"
   grep -q "errors: 1" "$OUT/figures" || { echo "$m gave no counterexample" >&2; exit 1; }
