--- a/internal/core/contract/apportion.go
+++ b/internal/core/contract/apportion.go
@@ -23,7 +23,7 @@
 		Without   string // the rack that is assumed gone; empty is none
 	}
 
-	wish struct {
+	demand struct {
 		workspace string
 		width     int
 	}
@@ -55,7 +55,7 @@
 			free[i] = r.Mask()
 		}
 	}
-	for _, w := range wishes(book) {
+	for _, w := range demands(book) {
 		rack, first := tightest(free, w.width)
 		if rack < 0 {
 			misfits = append(misfits, MisfitError{Workspace: w.workspace, Width: w.width})
@@ -91,14 +91,14 @@
 	return nil
 }
 
-// wishes lists the promised blocks, widest first: a wide block has the fewest
+// demands lists the promised blocks, widest first: a wide block has the fewest
 // places, and a narrow one fits what is left over.
-func wishes(book Book) []wish {
-	var all []wish
+func demands(book Book) []demand {
+	var all []demand
 	for name, c := range book {
 		for _, p := range c.Promises {
 			for range p.Blocks {
-				all = append(all, wish{workspace: name, width: p.Width})
+				all = append(all, demand{workspace: name, width: p.Width})
 			}
 		}
 	}
--- a/internal/core/plan/health.go
+++ b/internal/core/plan/health.go
@@ -49,14 +49,14 @@
 	if it.phase == waiting || it.phase == clearing {
 		return
 	}
-	s.blame(worker, it.Key)
+	s.suspect(worker, it.Key)
 	s.vacate(it)
 	it.began = true
-	if !slices.Contains(it.blamed, worker) {
-		it.blamed = append(it.blamed, worker)
+	if !slices.Contains(it.failedOn, worker) {
+		it.failedOn = append(it.failedOn, worker)
 	}
 	elsewhere := s.never(it, s.rules.Contracts[it.Key.Workspace]) == ""
-	if !it.gone && it.Movable && elsewhere && len(it.blamed) < failuresToGiveUp {
+	if !it.gone && it.Movable && elsewhere && len(it.failedOn) < failuresToGiveUp {
 		s.requeue(it)
 
 		return
@@ -71,13 +71,13 @@
 		return
 	}
 	if worker != "" {
-		s.blame(worker, it.Key)
+		s.suspect(worker, it.Key)
 	}
 	s.backInLine(it)
 }
 
-// blame counts a failure against a worker, once for each job.
-func (s *State) blame(worker string, k job.Key) {
+// suspect counts a failure against a worker, once for each job.
+func (s *State) suspect(worker string, k job.Key) {
 	if _, known := s.byName[worker]; !known {
 		return
 	}
@@ -94,8 +94,8 @@
 	s.setUp(worker)
 }
 
-// praise forgets the failures of the workers on which a job has finished.
-func (s *State) praise(it *item) {
+// succeeded forgets the failures of the workers on which a job has finished.
+func (s *State) succeeded(it *item) {
 	for _, p := range it.places {
 		w := s.racks.all[p.Rack].workerAt(p.First)
 		if h := s.health[w.name]; h != nil {
--- a/internal/core/plan/order.go
+++ b/internal/core/plan/order.go
@@ -48,7 +48,7 @@
 	it.score = s.scoreOf(it, it.guess.Left(it.Done))
 	k := groupKey{
 		workspace: it.Key.Workspace, shape: it.Shape, movable: it.Movable, urgent: it.Urgent,
-		avoid: strings.Join(it.blamed, " "),
+		avoid: strings.Join(it.failedOn, " "),
 	}
 	g, ok := s.groups[k]
 	if !ok {
@@ -96,7 +96,7 @@
 			continue
 		}
 		i++
-		if !s.hopeful(it) {
+		if !s.mayAct(it) {
 			continue
 		}
 		g.order = it.score + s.sharePenalty(g.key.workspace)
@@ -108,8 +108,8 @@
 	return r
 }
 
-// hopeful reports whether this pass could do anything for a job.
-func (s *State) hopeful(it *item) bool {
+// mayAct reports whether this pass could do anything for a job.
+func (s *State) mayAct(it *item) bool {
 	return it.size <= s.racks.usable || len(s.blocks[it.Key.Workspace]) > 0 || s.maySearch(it)
 }
 
--- a/internal/core/plan/place.go
+++ b/internal/core/plan/place.go
@@ -59,7 +59,7 @@
 		heap.Pop(&r)
 	}
 	if s.tune.Moves {
-		s.gather()
+		s.compact()
 	}
 }
 
@@ -156,7 +156,7 @@
 	if !it.Movable {
 		m = r.promised &^ s.own[ownKey{it.Key.Workspace, rack}]
 	}
-	for _, name := range it.blamed {
+	for _, name := range it.failedOn {
 		if ref := s.byName[name]; ref.rack == rack {
 			m |= contract.Low(ref.span.width) << ref.span.first
 		}
@@ -176,7 +176,7 @@
 			return nil
 		}
 
-		return spread(best.rack, best.first, it.Shape)
+		return sideBySide(best.rack, best.first, it.Shape)
 	}
 
 	return s.findScattered(it)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -18,8 +18,8 @@
 	Adopt                     // a job is found running: Job, Places
 	Cancel                    // the caller wants the job no more: Key
 	Finish                    // the job ended by itself: Key
-	Fail                      // the job failed: Key, Worker when one is to blame
-	Refused                   // the start was refused, nothing ran: Key, Worker when one is to blame
+	Fail                      // the job failed: Key, Worker when one is to suspect
+	Refused                   // the start was refused, nothing ran: Key, Worker when one is to suspect
 	SavedAll                  // a checkpoint is complete: Key, Done
 	Halted                    // a stop is complete: Key
 	Withdraw                  // the job is not to be planned for now: Key
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -401,3 +401,43 @@
 	}
 	require.Positive(t, late, "a policy without promises passes the check")
 }
+
+// TestBurst lets one workspace submit thousands of jobs at once: its queue is
+// bounded, and another workspace's promised work starts within a checkpoint's time.
+func TestBurst(t *testing.T) {
+	rules := plan.Rules{Fleet: fleetOf(6), Contracts: contract.Book{}}
+	rules.Policy.Defaults()
+	a := contract.Contract{Workspace: "a", Promises: []contract.Promise{{Blocks: 1, Width: 16}}}
+	b := contract.Contract{Workspace: "b", Queue: 500}
+	a.Defaults()
+	b.Defaults()
+	rules.Contracts["a"], rules.Contracts["b"] = a, b
+	s := plan.New(rules)
+	burst := make([]plan.Event, 0, 5000)
+	for i := range cap(burst) {
+		burst = append(burst, submitOf(job.Key{Workspace: "b", ID: fmt.Sprint(i)}, 8, 0))
+	}
+	refused := 0
+	for _, x := range s.Step(0, burst...) {
+		if x.Kind == plan.Conclude {
+			require.Equal(t, code.Overloaded, x.Code)
+			require.Positive(t, x.Retry)
+			refused++
+		}
+	}
+	require.Equal(t, len(burst)-500, refused)
+	key := job.Key{Workspace: "a", ID: "owed"}
+	owed := submitOf(key, 16, time.Second)
+	owed.Job.Shape = job.Shape{Members: 2, Width: 8, Adjacent: true}
+	saved := make([]plan.Event, 0, 2)
+	for _, x := range s.Step(time.Second, owed) {
+		require.Equal(t, plan.Save, x.Kind)
+		saved = append(saved, plan.Event{Kind: plan.SavedAll, Key: x.Key})
+	}
+	require.Len(t, saved, 2)
+	started := false
+	for _, x := range s.Step(2*time.Second, saved...) {
+		started = started || x.Kind == plan.Start && x.Key == key
+	}
+	require.True(t, started)
+}
--- a/internal/core/plan/rack.go
+++ b/internal/core/plan/rack.go
@@ -186,8 +186,8 @@
 	return contract.Low(p.Width) << p.First
 }
 
-// spread returns the places of the members of an adjacent shape from a position.
-func spread(rack, first int, s job.Shape) []Place {
+// sideBySide returns the places of the members of an adjacent shape from a position.
+func sideBySide(rack, first int, s job.Shape) []Place {
 	out := make([]Place, 0, s.Members)
 	for m := range s.Members {
 		out = append(out, Place{Rack: rack, First: first + m*s.Width, Width: s.Width})
--- a/internal/core/plan/reclaim.go
+++ b/internal/core/plan/reclaim.go
@@ -23,15 +23,15 @@
 		cost    float64 // accelerator-seconds lost
 	}
 
-	// stake is a job's accelerators in one rack and what is lost when it gives way.
-	stake struct {
+	// jobCost is a job's accelerators in one rack and what is lost when it gives way.
+	jobCost struct {
 		mask uint64
 		loss float64
 	}
 
-	// tenure is what stands in a rack, for one search.
-	tenure struct {
-		jobs  []stake
+	// costs is what stands in a rack, for one search.
+	costs struct {
+		jobs  []jobCost
 		stuck uint64 // accelerators whose jobs do not give way
 	}
 
@@ -91,18 +91,18 @@
 	if starts == 0 {
 		return clearance{}, false
 	}
-	tenure := s.tenureOf(rack, gives, it.Urgent)
+	costs := s.costsOf(rack, gives, it.Urgent)
 	first, least := -1, 0.0
 	for m := starts; m != 0; m &= m - 1 {
 		p := bits.TrailingZeros64(m)
 		body := contract.Low(it.size) << p
-		if body&tenure.stuck != 0 {
+		if body&costs.stuck != 0 {
 			continue
 		}
 		cost := 0.0
-		for i := range tenure.jobs {
-			if tenure.jobs[i].mask&body != 0 {
-				cost += tenure.jobs[i].loss
+		for i := range costs.jobs {
+			if costs.jobs[i].mask&body != 0 {
+				cost += costs.jobs[i].loss
 			}
 		}
 		if first < 0 || cost < least {
@@ -114,13 +114,13 @@
 	}
 	victims := s.racks.all[rack].occupants(contract.Low(it.size) << first)
 
-	return clearance{places: spread(rack, first, it.Shape), victims: victims, cost: least}, true
+	return clearance{places: sideBySide(rack, first, it.Shape), victims: victims, cost: least}, true
 }
 
-// tenureOf judges each job in a rack once: what is lost when it gives way, or that
+// costsOf judges each job in a rack once: what is lost when it gives way, or that
 // it does not.
-func (s *State) tenureOf(rack int, gives yields, now bool) *tenure {
-	t := &s.tenure
+func (s *State) costsOf(rack int, gives yields, now bool) *costs {
+	t := &s.costs
 	t.jobs = t.jobs[:0]
 	t.stuck = 0
 	r := &s.racks.all[rack]
@@ -139,7 +139,7 @@
 
 			continue
 		}
-		t.jobs = append(t.jobs, stake{mask: mask, loss: s.lossOf(v, now)})
+		t.jobs = append(t.jobs, jobCost{mask: mask, loss: s.lossOf(v, now)})
 	}
 
 	return t
@@ -254,7 +254,7 @@
 				last = max(last, v.guess.Left(v.Done+s.now-v.started).Seconds())
 			}
 			if !found || last < best.cost {
-				best, found = clearance{places: spread(i, p, it.Shape), cost: last}, true
+				best, found = clearance{places: sideBySide(i, p, it.Shape), cost: last}, true
 			}
 		}
 	}
@@ -279,9 +279,9 @@
 	return n
 }
 
-// gather empties one worker of the small jobs that scatter its free accelerators,
+// compact empties one worker of the small jobs that scatter its free accelerators,
 // when they fit holes elsewhere: the worker with the least to move.
-func (s *State) gather() {
+func (s *State) compact() {
 	if s.budget < s.tune.MoveFloor*s.tune.budgetSpan*s.rate() {
 		return
 	}
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -21,7 +21,7 @@
 	Tail    func(stream string) *log.Tail // nil for an unknown stream
 	Offer   func(j job.Job) *job.Answer
 	Plans   func(region string) bool
-	Racks   func() []plan.Occupancy
+	Racks   func(ctx context.Context) []plan.Occupancy
 }
 
 var _ entrypb.Entry = (*service)(nil)
@@ -88,11 +88,11 @@
 }
 
 // Racks returns the occupancy that this VM has planned.
-func (s service) Racks(_ context.Context, r *entrypb.RacksRequest) (*entrypb.RacksReply, error) {
+func (s service) Racks(ctx context.Context, r *entrypb.RacksRequest) (*entrypb.RacksReply, error) {
 	if !s.Plans(r.Region) {
 		return &entrypb.RacksReply{}, nil
 	}
-	b, err := json.Marshal(s.Server.Racks())
+	b, err := json.Marshal(s.Server.Racks(ctx))
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
--- a/internal/peer/log/client.go
+++ b/internal/peer/log/client.go
@@ -22,9 +22,6 @@
 
 	// maxReply bounds one reply of the log, in bytes.
 	maxReply = 64 << 20
-
-	// replySlack is added to a read's wait before the connection is given up.
-	replySlack = 2 * time.Second
 )
 
 var (
@@ -96,9 +93,11 @@
 }
 
 // Read returns up to max records from an offset on, waiting up to wait for the
-// first. A batch whose First is above from says that older records have expired.
-func (c *Client) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+replySlack)
+// first. A reply that takes patience longer is given up with its connection, which
+// may have gone silent. A batch whose First is above from says that older records
+// have expired.
+func (c *Client) Read(ctx context.Context, stream string, from int64, max int, wait, patience time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 
 	q := url.Values{}
--- a/internal/peer/log/tail.go
+++ b/internal/peer/log/tail.go
@@ -11,7 +11,13 @@
 )
 
 const (
-	readWait   = 5 * time.Second
+	readWait = time.Second
+
+	// A silent connection is noticed after readWait and minPatience; a log that is
+	// only slow is waited for longer and longer, up to maxPatience.
+	minPatience = 500 * time.Millisecond
+	maxPatience = 8 * time.Second
+
 	readMax    = 2000
 	ringLength = 4096
 	snapChunk  = 256 << 10 // bytes of state in one snapshot record
@@ -101,14 +107,17 @@
 // Run reads the log until the context ends.
 func (t *Tail) Run(ctx context.Context) {
 	pause := firstPause
+	patience := minPatience
 	for ctx.Err() == nil {
-		err := t.step(ctx)
+		err := t.step(ctx, patience)
 		t.alive.Store(err == nil)
 		if err == nil {
 			pause = firstPause
+			patience = max(patience/2, minPatience)
 
 			continue
 		}
+		patience = min(2*patience, maxPatience)
 		if t.Behind != nil && ctx.Err() == nil {
 			t.Behind(err)
 		}
@@ -117,13 +126,13 @@
 	}
 }
 
-func (t *Tail) step(ctx context.Context) error {
+func (t *Tail) step(ctx context.Context, patience time.Duration) error {
 	from := t.next()
 	wait := readWait
 	if !t.alive.Load() {
 		wait = 0
 	}
-	b, err := t.Client.Read(ctx, t.Stream, from, readMax, wait)
+	b, err := t.Client.Read(ctx, t.Stream, from, readMax, wait, patience)
 	if err != nil {
 		return err
 	}
@@ -157,7 +166,7 @@
 			continue
 		}
 		if offset > t.applied.Load()+1 {
-			t.bridge(offset, raw)
+			t.collect(offset, raw)
 
 			continue
 		}
@@ -180,8 +189,8 @@
 	t.Show(offset)
 }
 
-// bridge collects records beyond a hole until a whole snapshot closes it.
-func (t *Tail) bridge(offset int64, raw []byte) {
+// collect collects records beyond a hole until a whole snapshot closes it.
+func (t *Tail) collect(offset int64, raw []byte) {
 	if t.gap == nil {
 		t.gap = &gap{records: map[int64][]byte{}, parts: map[string]map[int][]byte{}, newest: offset - 1}
 	}
--- /dev/null
+++ b/internal/run/planner/answers.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/core/ledger"
+	"sesameyoke/internal/core/plan"
+)
+
+// conclude carries out the plan's decision to answer a job.
+func (s *session) conclude(a plan.Action) {
+	ans := job.Conclude(a.Key, a.Code, a.Reason)
+	ans.Retry = ttl(a.Retry)
+	if e := s.p.Ledger.Get(a.Key); e != nil && e.Claim != nil {
+		ans.Attempt = e.Claim.Attempt
+	}
+	s.answer(ans, nil)
+}
+
+// answer writes the answer to the log, or hands it to the VM that has offered the
+// job. then is called on the loop when the answer is safe.
+func (s *session) answer(a job.Answer, then func(*session)) {
+	a.Finished = s.p.Timer.Now()
+	s.p.Log.Info().Str("event", "answer").Str("job", a.Key.String()).Int("code", int(a.Code)).
+		Str("name", a.Name).Str("ran", string(a.Ran)).Int("length", a.Length).Str("reason", a.Reason).Msg("")
+	s.p.Metrics.Count("answers", map[string]string{"code": a.Name})
+	offered := s.p.offers.answer(a)
+	if then == nil {
+		then = func(*session) {}
+	}
+	if s.p.Ledger.Get(a.Key) == nil && offered {
+		then(s)
+
+		return
+	}
+	s.closing[a.Key] = true
+	go func() {
+		s.commitAnswer(a)
+		s.send(func(s *session) {
+			delete(s.closing, a.Key)
+			then(s)
+		})
+	}()
+}
+
+// commitAnswer writes an answer. "Not run" is refused by the ledger when an
+// idempotent job may have begun; the caller is then told that it is not known.
+func (s *session) commitAnswer(a job.Answer) {
+	v := s.commit(ledger.Record{Kind: ledger.KindClose, Key: a.Key, Answer: &a})
+	e := s.p.Ledger.Get(a.Key)
+	if v != ledger.Lost || e == nil || e.Answer != nil || !e.Job.Idempotent || a.Ran != code.RanNo {
+		return
+	}
+	u := job.Conclude(a.Key, code.Unknown, a.Reason+"; an attempt to start it was made")
+	u.Finished = a.Finished
+	s.commit(ledger.Record{Kind: ledger.KindClose, Key: a.Key, Answer: &u})
+}
+
+// commit appends a record and tries until it has been read back or the session
+// ends.
+func (s *session) commit(r ledger.Record) ledger.Verdict {
+	r.ID = newAttemptID()
+	r.Time = s.p.Timer.Now()
+	for s.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, s.p.Timing.Accept.Duration)
+		v, err := s.p.Commit(ctx, r)
+		cancel()
+		if err == nil {
+			return v
+		}
+		wait(s.ctx, busyPause)
+	}
+
+	return ledger.Skipped
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/run/planner/planner.go
+++ b/internal/run/planner/planner.go
@@ -75,7 +75,6 @@
 		active   atomic.Bool  // a session is running
 		drain    atomic.Bool  // no new gangs are started
 		starting atomic.Int64 // gangs whose start is under way
-		view     atomic.Pointer[[]plan.Occupancy]
 		offers   offers
 	}
 
@@ -162,14 +161,27 @@
 	}
 }
 
-// Occupancy returns the racks as last planned, or nil when this VM does not plan.
-func (p *Planner) Occupancy() []plan.Occupancy {
-	v := p.view.Load()
-	if !p.Active() || v == nil {
+// Occupancy returns the racks as they are planned now, or nil when this VM does not
+// plan or the context ends first.
+func (p *Planner) Occupancy(ctx context.Context) []plan.Occupancy {
+	if !p.Active() {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, p.Timing.Call.Duration)
+	defer cancel()
 
-	return *v
+	out := make(chan []plan.Occupancy, 1)
+	select {
+	case p.in <- func(s *session) { out <- s.state.Occupancies() }:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case v := <-out:
+		return v
+	case <-ctx.Done():
+		return nil
+	}
 }
 
 func (p *Planner) open(ctx context.Context) (*session, func()) {
@@ -258,8 +270,6 @@
 	}
 	s.event(plan.Event{Kind: plan.Tick})
 	s.step()
-	view := s.state.Occupancies()
-	s.p.view.Store(&view)
 	s.p.Metrics.Gauge("runs", float64(len(s.runs)))
 	s.p.Metrics.Gauge("workers", float64(len(s.workers)))
 }
--- a/internal/run/serve/jobs.go
+++ b/internal/run/serve/jobs.go
@@ -45,6 +45,8 @@
 
 	_, err := v.commit(accept, ledger.Record{Kind: ledger.KindOpen, Key: j.Key(), Job: &j})
 	v.metrics.Time("accept", v.timer.Now().Sub(began))
+	v.Log.Info().Str("event", "accept").Str("job", j.Key().String()).Bool("accepted", err == nil).
+		Int("members", j.Shape.Members).Int("width", j.Shape.Width).Bool("idempotent", j.Idempotent).Msg("")
 	switch {
 	case err == nil:
 		return v.attach(ctx, v.ledger.Get(j.Key()), j, wait)
--- a/internal/run/serve/peers.go
+++ b/internal/run/serve/peers.go
@@ -244,10 +244,10 @@
 }
 
 // ownRacks returns the occupancy of the regions that this VM plans.
-func (v *VM) ownRacks() []plan.Occupancy {
-	var out []plan.Occupancy
+func (v *VM) ownRacks(ctx context.Context) []plan.Occupancy {
+	out := make([]plan.Occupancy, 0, len(v.config.get().Fleet.Racks))
 	for _, p := range v.allPlanners() {
-		out = append(out, p.Occupancy()...)
+		out = append(out, p.Occupancy(ctx)...)
 	}
 
 	return out
@@ -255,7 +255,7 @@
 
 // racks returns the occupancy of all regions, asking their planners.
 func (v *VM) racks(ctx context.Context) []plan.Occupancy {
-	out := v.ownRacks()
+	out := v.ownRacks(ctx)
 	asked := map[string]bool{v.Settings.Name: true}
 	for _, r := range v.config.get().Fleet.Racks {
 		m, ok := v.members.Planner(r.Region)
