--- a/internal/core/unit/duration.go
+++ b/internal/core/unit/duration.go
@@ -2,9 +2,11 @@
 package unit
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
 )
 
 // Duration is a time.Duration that is written as text, such as "1m30s".
@@ -31,3 +33,14 @@
 
 	return nil
 }
+
+// UnmarshalYAML reads a duration such as "1m30s". The error names the line.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
+	v, err := time.ParseDuration(n.Value)
+	if err != nil {
+		return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: %q is not a duration such as 30s", n.Line, n.Value)}}
+	}
+	d.Duration = v
+
+	return nil
+}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -191,7 +191,7 @@
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
 	dec.KnownFields(true)
 	if err := dec.Decode(v); err != nil {
-		return errors.Errorf("%s: %s", path, unknownKey.ReplaceAllString(err.Error(), "$1 is not a known key"))
+		return errors.New(decodeFaults(path, err))
 	}
 	err = finish()
 	faults, ok := err.(unit.Faults)
@@ -202,6 +202,21 @@
 	return errors.New(withLines(path, raw, faults))
 }
 
+// decodeFaults lists what the YAML library could not decode, by line.
+func decodeFaults(path string, err error) string {
+	var faults *yaml.TypeError
+	if !errors.As(err, &faults) {
+		return path + ": " + err.Error()
+	}
+	lines := make([]string, 0, len(faults.Errors))
+	for _, e := range faults.Errors {
+		e = unknownKey.ReplaceAllString(e, "$1 is not a known key")
+		lines = append(lines, path+":"+strings.TrimPrefix(e, "line "))
+	}
+
+	return strings.Join(lines, "\n")
+}
+
 func withLines(path string, raw []byte, faults unit.Faults) string {
 	var root yaml.Node
 	if err := yaml.Unmarshal(raw, &root); err != nil {
--- /dev/null
+++ b/internal/run/settings/settings_test.go
@@ -0,0 +1,36 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/run/settings"
+)
+
+// TestRead reads each settings file of testdata and prints its faults, all at once,
+// by line and field.
+func TestRead(t *testing.T) {
+	datadriven.RunTest(t, "testdata/settings", func(t *testing.T, d *datadriven.TestData) string {
+		path := filepath.Join(t.TempDir(), "entry.yaml")
+		require.NoError(t, os.WriteFile(path, []byte(d.Input), 0o600))
+		_, err := settings.Read(path)
+		if err != nil {
+			return strings.ReplaceAll(err.Error(), path, "entry.yaml") + "\n"
+		}
+
+		return "ok\n"
+	})
+}
+
+// TestExample reads the settings that the README starts from.
+func TestExample(t *testing.T) {
+	s, err := settings.Read("../../../examples/entry.yaml")
+	require.NoError(t, err)
+	require.Equal(t, "e1", s.Name)
+	require.Positive(t, s.Timing.Lease.Duration)
+}
