Throttle jobs that use more than they have declared, before a checkpoint

Cause: the workers' throttle call had no rule. Two reports in a row of more than 1.25 times the declared share throttle a job, ten make it give way by a checkpoint. The fault test now asks again, after the faults have ended, for answers still open.

--- a/internal/core/plan/health.go
+++ b/internal/core/plan/health.go
@@ -20,6 +20,15 @@
 	// is taken to be at fault itself.
 	failuresToGiveUp = 3
 
+	// overShare is the processor use, over the declared share, that is let pass:
+	// reports lag and are coarse.
+	overShare = 1.25
+
+	// overToThrottle is how many reports in a row have to be over before the job is
+	// throttled, overToSave how many before it gives way.
+	overToThrottle = 2
+	overToSave     = 10
+
 	firstProbe = time.Minute
 	maxProbe   = time.Hour
 )
@@ -43,6 +52,24 @@
 	return h
 }
 
+// judgeUsage holds a job to the share of processors that it has declared: first by
+// throttling, and by a checkpoint when that is not enough.
+func (s *State) judgeUsage(it *item, share float64) {
+	if it.phase != running || share <= overShare {
+		it.over = 0
+
+		return
+	}
+	it.over++
+	switch {
+	case it.over == overToThrottle:
+		s.act(Action{Kind: Throttle, Key: it.Key})
+	case it.over >= overToSave && it.Movable:
+		it.over = 0
+		s.evict(it, false)
+	}
+}
+
 // fail judges a failed job: it is tried on another worker, and ended after it has
 // failed on several. Work that must not run twice ends at once.
 func (s *State) fail(it *item, worker string) {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -23,6 +23,7 @@
 	SavedAll                  // a checkpoint is complete: Key, Done
 	Halted                    // a stop is complete: Key
 	Withdraw                  // the job is not to be planned for now: Key
+	Usage                     // a worker reports processor use: Key, Share
 	Down                      // a worker is gone or leaving: Worker
 	Up                        // a worker is back: Worker
 	Tick                      // time has passed
@@ -33,6 +34,7 @@
 	Start    ActionKind = iota // start the job at Places
 	Save                       // checkpoint the job, then tell SavedAll
 	Stop                       // stop the job, then tell Halted
+	Throttle                   // hold the job to its declared share of processors
 	Conclude                   // answer the job with Code
 )
 
@@ -73,6 +75,7 @@
 		Places []Place
 		Done   time.Duration
 		Worker string
+		Share  float64 // processor use over the declared share
 	}
 
 	// Action is one thing to do.
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -92,7 +92,7 @@
 	kinds := map[string]plan.EventKind{
 		"submit": plan.Submit, "cancel": plan.Cancel, "finish": plan.Finish, "fail": plan.Fail,
 		"refused": plan.Refused, "saved": plan.SavedAll, "halted": plan.Halted, "down": plan.Down,
-		"up": plan.Up, "tick": plan.Tick, "withdraw": plan.Withdraw,
+		"up": plan.Up, "tick": plan.Tick, "withdraw": plan.Withdraw, "usage": plan.Usage,
 	}
 	var events []plan.Event
 	for line := range strings.Lines(d.Input) {
@@ -107,7 +107,7 @@
 		readWords(t, &e, words, at)
 		events = append(events, e)
 	}
-	names := []string{"start", "save", "stop", "conclude"}
+	names := []string{"start", "save", "stop", "throttle", "conclude"}
 	var out strings.Builder
 	for _, a := range s.Step(at, events...) {
 		fmt.Fprintf(&out, "%s %s", names[a.Kind], a.Key)
@@ -139,6 +139,10 @@
 			e.Job.Urgent = true
 		case "worker":
 			e.Worker = value
+		case "share":
+			v, err := strconv.ParseFloat(value, 64)
+			require.NoError(t, err)
+			e.Share = v
 		case "run", "deadline", "done":
 			v, err := time.ParseDuration(value)
 			require.NoError(t, err)
--- a/internal/core/plan/state.go
+++ b/internal/core/plan/state.go
@@ -35,6 +35,7 @@
 		until    time.Duration // saving: stopped after it
 		moved    time.Duration // last time a checkpoint was asked of it
 		moves    int
+		over     int           // reports in a row of more than the declared share
 		searched time.Duration // last search for jobs to give way
 		group    *group
 		drains   bool     // clearing: the places drain by themselves
@@ -235,6 +236,8 @@
 		s.saved(it, e.Done)
 	case Halted:
 		s.halted(it)
+	case Usage:
+		s.judgeUsage(it, e.Share)
 	case Withdraw:
 		s.withdraw(it)
 	}
--- a/internal/run/gang/gang.go
+++ b/internal/run/gang/gang.go
@@ -36,13 +36,14 @@
 
 	// Ports are the calls that the protocol makes.
 	Ports struct {
-		Reserve func(ctx context.Context, worker string, r worker.ReserveRequest) (worker.Reply, error)
-		Arm     func(ctx context.Context, worker string, r worker.ArmRequest) (worker.Reply, error)
-		Go      func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
-		Release func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
-		Stop    func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
-		Save    func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
-		Renew   func(ctx context.Context, worker string, r worker.RenewRequest) (worker.Report, error)
+		Reserve  func(ctx context.Context, worker string, r worker.ReserveRequest) (worker.Reply, error)
+		Arm      func(ctx context.Context, worker string, r worker.ArmRequest) (worker.Reply, error)
+		Go       func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Release  func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Stop     func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Save     func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Throttle func(ctx context.Context, worker string, r worker.TokenRequest) (worker.Reply, error)
+		Renew    func(ctx context.Context, worker string, r worker.RenewRequest) (worker.Report, error)
 
 		// Claim writes a claim to the log and returns its verdict once it has been
 		// read back. An error leaves open whether the claim stands.
--- a/internal/run/planner/planner.go
+++ b/internal/run/planner/planner.go
@@ -314,6 +314,8 @@
 		s.save(a.Key)
 	case plan.Stop:
 		s.stop(a.Key)
+	case plan.Throttle:
+		s.throttle(a.Key)
 	case plan.Conclude:
 		s.conclude(a)
 	}
--- a/internal/run/planner/ports.go
+++ b/internal/run/planner/ports.go
@@ -33,6 +33,9 @@
 		Save: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
 			return w.Save(ctx, at(name), r)
 		},
+		Throttle: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
+			return w.Throttle(ctx, at(name), r)
+		},
 		Renew: func(ctx context.Context, name string, r worker.RenewRequest) (worker.Report, error) {
 			return w.Renew(ctx, at(name), r)
 		},
--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -187,11 +187,24 @@
 // update takes in what a worker reports of one member.
 func (s *session) update(r *run, t worker.Task) {
 	r.states[t.Member] = t
+	if t.Share > 0 {
+		s.event(plan.Event{Kind: plan.Usage, Key: r.key, Share: mostUsed(r.states)})
+	}
 	if r.phase != phaseStarting {
 		s.judge(r)
 	}
 }
 
+// mostUsed returns the largest use of processors over the declared share.
+func mostUsed(states []worker.Task) float64 {
+	most := 0.0
+	for _, t := range states {
+		most = max(most, t.Share)
+	}
+
+	return most
+}
+
 // judge looks at a run as a whole.
 func (s *session) judge(r *run) {
 	if r.phase == phaseEnding {
@@ -305,6 +318,20 @@
 	}
 }
 
+// throttle holds all members to their declared share of processors.
+func (s *session) throttle(k job.Key) {
+	r := s.runs[k]
+	if r == nil || r.phase != phaseRunning {
+		return
+	}
+	s.p.Log.Info().Str("event", "throttle").Str("job", k.String()).Msg("")
+	for _, m := range r.gang.Members {
+		go func() {
+			_, _ = s.p.calls.Throttle(s.ctx, m.Worker, worker.TokenRequest{Token: m.Token, Life: m.Life})
+		}()
+	}
+}
+
 // savedAll writes down a checkpoint and puts the job back in line.
 func (s *session) savedAll(r *run) {
 	r.phase = phaseEnding
--- a/internal/run/serve/faults_test.go
+++ b/internal/run/serve/faults_test.go
@@ -125,12 +125,16 @@
 	wait.Wait()
 	close(stop)
 	faults.Wait()
+	if change == nil {
+		r.finish(jobs, answers)
+	}
 	time.Sleep(lease)
 	begun := r.begun()
 	for i, a := range answers {
 		out.answers[a.Code]++
 		if a.Finished.IsZero() {
 			out.open++
+			out.violations = append(out.violations, fmt.Sprintf("%s: never answered: %s", jobs[i].Key(), a.Code))
 		}
 		out.violations = append(out.violations, judge(jobs[i], a, begun[jobs[i].Key()])...)
 	}
@@ -138,6 +142,17 @@
 	return out
 }
 
+// finish asks for the answers that were still open when the faults ended.
+func (r *rig) finish(jobs []job.Job, answers []job.Answer) {
+	var wait sync.WaitGroup
+	for i := range jobs {
+		if answers[i].Finished.IsZero() {
+			wait.Go(func() { answers[i] = r.settle(jobs[i], 15*time.Second) })
+		}
+	}
+	wait.Wait()
+}
+
 // judge holds an answer against what the workers' journals say.
 func judge(j job.Job, a job.Answer, begun []standin.Begun) []string {
 	var out []string
--- a/internal/run/serve/leave_test.go
+++ b/internal/run/serve/leave_test.go
@@ -207,6 +207,20 @@
 	}
 }
 
+// TestThrottle holds a job to its declared share, which is enough to let it finish.
+func TestThrottle(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, plain("a"))
+	x := r.start("x", nil)
+	j := jobOf("a", "hungry", 1, 1, time.Second)
+	j.Payload = `{"work":"1s","share":4}`
+	a, err := r.caller(x).Submit(context.Background(), j, 10*time.Second)
+	require.NoError(t, err)
+	require.NoError(t, ownAnswer(a, j.Key()))
+	require.Len(t, r.begun()[j.Key()], 1, "throttled, not checkpointed")
+	require.Equal(t, 1, r.workers["w0"].now.Load().Throttled())
+}
+
 // TestBadWorker fails everything on one worker; the jobs are answered all the same.
 func TestBadWorker(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -43,13 +43,14 @@
 		Accelerators int
 		SaveTime     time.Duration // a checkpoint takes this long
 
-		mu      sync.Mutex
-		life    string
-		lease   time.Time
-		version int64
-		tasks   map[string]*task
-		faults  Faults
-		journal []*Begun
+		mu        sync.Mutex
+		life      string
+		lease     time.Time
+		version   int64
+		tasks     map[string]*task
+		faults    Faults
+		throttled int
+		journal   []*Begun
 	}
 
 	task struct {
@@ -69,6 +70,8 @@
 	order struct {
 		Work string `json:"work"` // true run time
 		Fail bool   `json:"fail"`
+
+		Share float64 `json:"share"` // processor use over the declared share
 	}
 )
 
@@ -182,6 +185,7 @@
 	t.run, t.payload = r.Run.Duration, r.Payload
 	var o order
 	if json.Unmarshal([]byte(r.Payload), &o) == nil && o.Work != "" {
+		t.Share = o.Share
 		if d, err := time.ParseDuration(o.Work); err == nil {
 			t.run = d
 		}
@@ -302,7 +306,8 @@
 	full := r.Life != w.life
 	rep := port.Report{Life: w.life, Leaving: w.faults.Leaving, Version: w.version, Full: full}
 	for _, t := range w.tasks {
-		if !full && t.changed <= r.Since {
+		over := t.State == port.Running && t.Share > 1
+		if !full && !over && t.changed <= r.Since {
 			continue
 		}
 		if t.State == port.Released {
@@ -404,6 +409,14 @@
 	return t.before + now.Sub(t.started)
 }
 
+// Throttled returns how many tasks have been throttled here.
+func (w *Worker) Throttled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.throttled
+}
+
 // Throttle holds a running task to its declared share of processors.
 func (w *Worker) Throttle(r port.TokenRequest) port.Reply {
 	w.mu.Lock()
@@ -413,7 +426,10 @@
 	if t == nil {
 		return w.reply(port.Missing)
 	}
-	t.Share = min(t.Share, 1)
+	if t.Share > 1 {
+		t.Share = 1
+		w.throttled++
+	}
 
 	return w.reply(t.State)
 }
