--- a/internal/run/planner/ports.go
+++ b/internal/run/planner/ports.go
@@ -5,40 +5,22 @@
 
 	"sesameyoke/internal/core/job"
 	"sesameyoke/internal/core/ledger"
-	"sesameyoke/internal/peer/worker"
 	"sesameyoke/internal/run/gang"
 )
 
 // bind returns the protocol's calls, bound to the workers' addresses and the log.
 func (p *Planner) bind() gang.Ports {
 	w := p.Workers
-	at := p.Address
 
 	return gang.Ports{
-		Reserve: func(ctx context.Context, name string, r worker.ReserveRequest) (worker.Reply, error) {
-			return w.Reserve(ctx, at(name), r)
-		},
-		Arm: func(ctx context.Context, name string, r worker.ArmRequest) (worker.Reply, error) {
-			return w.Arm(ctx, at(name), r)
-		},
-		Go: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Go(ctx, at(name), r)
-		},
-		Release: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Release(ctx, at(name), r)
-		},
-		Stop: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Stop(ctx, at(name), r)
-		},
-		Save: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Save(ctx, at(name), r)
-		},
-		Throttle: func(ctx context.Context, name string, r worker.TokenRequest) (worker.Reply, error) {
-			return w.Throttle(ctx, at(name), r)
-		},
-		Renew: func(ctx context.Context, name string, r worker.RenewRequest) (worker.Report, error) {
-			return w.Renew(ctx, at(name), r)
-		},
+		Reserve:  to(p.Address, w.Reserve),
+		Arm:      to(p.Address, w.Arm),
+		Go:       to(p.Address, w.Go),
+		Release:  to(p.Address, w.Release),
+		Stop:     to(p.Address, w.Stop),
+		Save:     to(p.Address, w.Save),
+		Throttle: to(p.Address, w.Throttle),
+		Renew:    to(p.Address, w.Renew),
 		Claim: func(ctx context.Context, k job.Key, c ledger.Claim) (ledger.Verdict, error) {
 			ctx, cancel := context.WithTimeout(ctx, p.Timing.Accept.Duration)
 			defer cancel()
@@ -55,3 +37,12 @@
 		Pause: func(string) {},
 	}
 }
+
+// to turns a call to an address into one to a worker by name.
+func to[In, Out any](
+	address func(string) string, call func(context.Context, string, In) (Out, error),
+) func(context.Context, string, In) (Out, error) {
+	return func(ctx context.Context, name string, in In) (Out, error) {
+		return call(ctx, address(name), in)
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -170,54 +170,59 @@
 
 // Arm loads the work of a reserved token.
 func (w *Worker) Arm(r port.ArmRequest) port.Reply {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	return w.with(r.Token, r.Life, func(t *task, now time.Time) {
+		if t.State != port.Reserved {
+			return
+		}
+		t.load(r)
+		t.deadline = now.Add(r.TTL.Duration)
+		w.set(t, port.Armed)
+	})
+}
 
-	now := time.Now()
-	w.advance(now)
-	t := w.find(r.Token, r.Life)
-	if t == nil {
-		return w.reply(port.Missing)
-	}
-	if t.State != port.Reserved {
-		return w.reply(t.State)
-	}
+// load takes the work from the request; its payload may name the true run time.
+func (t *task) load(r port.ArmRequest) {
 	t.run, t.payload = r.Run.Duration, r.Payload
-	var o order
-	if json.Unmarshal([]byte(r.Payload), &o) == nil && o.Work != "" {
-		t.Share = o.Share
-		if d, err := time.ParseDuration(o.Work); err == nil {
-			t.run = d
-		}
-	}
 	if r.Save != "" {
 		t.before, _ = time.ParseDuration(r.Save)
 	}
-	t.deadline = now.Add(r.TTL.Duration)
-	w.set(t, port.Armed)
-
-	return w.reply(t.State)
+	var o order
+	if json.Unmarshal([]byte(r.Payload), &o) != nil {
+		return
+	}
+	t.Share = o.Share
+	if d, err := time.ParseDuration(o.Work); err == nil {
+		t.run = d
+	}
 }
 
 // Go starts an armed token under its first, short lease.
 func (w *Worker) Go(r port.TokenRequest) port.Reply {
+	return w.with(r.Token, r.Life, func(t *task, now time.Time) {
+		if t.State != port.Armed {
+			return
+		}
+		t.started = now
+		t.deadline = now.Add(r.TTL.Duration)
+		t.begun = &Begun{Key: t.Key, Attempt: t.Attempt, Member: t.Member, Members: t.Members, At: now}
+		w.journal = append(w.journal, t.begun)
+		w.set(t, port.Running)
+	})
+}
+
+// with calls f for a token under the lock, after time has passed, and answers with
+// the token's state.
+func (w *Worker) with(token, life string, f func(t *task, now time.Time)) port.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	now := time.Now()
 	w.advance(now)
-	t := w.find(r.Token, r.Life)
+	t := w.find(token, life)
 	if t == nil {
 		return w.reply(port.Missing)
 	}
-	if t.State != port.Armed {
-		return w.reply(t.State)
-	}
-	t.started = now
-	t.deadline = now.Add(r.TTL.Duration)
-	t.begun = &Begun{Key: t.Key, Attempt: t.Attempt, Member: t.Member, Members: t.Members, At: now}
-	w.journal = append(w.journal, t.begun)
-	w.set(t, port.Running)
+	f(t, now)
 
 	return w.reply(t.State)
 }
@@ -247,42 +252,25 @@
 
 // Save starts a checkpoint of a running task.
 func (w *Worker) Save(r port.TokenRequest) port.Reply {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	now := time.Now()
-	w.advance(now)
-	t := w.find(r.Token, r.Life)
-	if t == nil {
-		return w.reply(port.Missing)
-	}
-	if t.State == port.Running {
-		t.Done.Duration = t.ran(now)
-		t.saving = now.Add(w.SaveTime)
-		w.set(t, port.Saving)
-	}
-
-	return w.reply(t.State)
+	return w.with(r.Token, r.Life, func(t *task, now time.Time) {
+		if t.State == port.Running {
+			t.Done.Duration = t.ran(now)
+			t.saving = now.Add(w.SaveTime)
+			w.set(t, port.Saving)
+		}
+	})
 }
 
 // Stop ends a token at once.
 func (w *Worker) Stop(r port.TokenRequest) port.Reply {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	w.advance(time.Now())
-	t := w.find(r.Token, r.Life)
-	if t == nil {
-		return w.reply(port.Missing)
-	}
-	switch t.State {
-	case port.Reserved, port.Armed:
-		w.set(t, port.Released)
-	case port.Running, port.Saving:
-		w.set(t, port.Stopped)
-	}
-
-	return w.reply(t.State)
+	return w.with(r.Token, r.Life, func(t *task, _ time.Time) {
+		switch t.State {
+		case port.Reserved, port.Armed:
+			w.set(t, port.Released)
+		case port.Running, port.Saving:
+			w.set(t, port.Stopped)
+		}
+	})
 }
 
 // Renew extends the lease and reports what changed.
@@ -419,17 +407,10 @@
 
 // Throttle holds a running task to its declared share of processors.
 func (w *Worker) Throttle(r port.TokenRequest) port.Reply {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	t := w.find(r.Token, r.Life)
-	if t == nil {
-		return w.reply(port.Missing)
-	}
-	if t.Share > 1 {
-		t.Share = 1
-		w.throttled++
-	}
-
-	return w.reply(t.State)
+	return w.with(r.Token, r.Life, func(t *task, _ time.Time) {
+		if t.Share > 1 {
+			t.Share = 1
+			w.throttled++
+		}
+	})
 }
