End gangs whose worker restarted while they were starting

The new incarnation was noted while the run was still starting, so nothing ever told that its token was gone. Ruled out: settling (no claim was being settled), the plan's queue (the job ran). After: incarnations are compared when a run begins and whenever a worker reports a new one; the non-idempotent job is answered 40 unknown, the idempotent one runs again.

--- a/internal/run/planner/hosts.go
+++ b/internal/run/planner/hosts.go
@@ -118,10 +118,11 @@
 		return
 	}
 	h.heard = s.p.Timer.Now()
-	if h.life != "" && h.life != rep.Life {
-		s.reborn(h)
-	}
+	reborn := h.life != rep.Life
 	h.life, h.version, h.leaving = rep.Life, rep.Version, rep.Leaving
+	if reborn {
+		s.checkLives(h)
+	}
 	for _, t := range rep.Tasks {
 		s.report(h, t)
 	}
@@ -176,9 +177,23 @@
 	}
 }
 
-// reborn handles a worker that has restarted: its tasks are gone.
-func (s *session) reborn(h *host) {
-	s.lost(h, "the worker has restarted")
+// checkLives ends the gangs that have a member in an earlier incarnation of the
+// worker: its tasks are gone.
+func (s *session) checkLives(h *host) {
+	for _, r := range s.runs {
+		if r.phase != phaseStarting {
+			s.checkLife(r, h)
+		}
+	}
+}
+
+func (s *session) checkLife(r *run, h *host) {
+	for i, m := range r.gang.Members {
+		if m.Worker == h.name && m.Life != h.life && r.states[i].State.Holds() {
+			r.states[i].State = worker.Missing
+			s.broken(r, h.name, "the worker has restarted")
+		}
+	}
 }
 
 // survey waits until every worker has been asked once, and then takes stock.
--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -143,6 +143,11 @@
 		}
 	}
 	s.confirm(r)
+	for _, m := range r.gang.Members {
+		if h := s.workers[m.Worker]; h != nil && h.life != "" {
+			s.checkLife(r, h) // it may have restarted while the gang was starting
+		}
+	}
 	if r.halt {
 		s.stop(r.key)
 	} else if r.save {
--- a/internal/run/serve/leave_test.go
+++ b/internal/run/serve/leave_test.go
@@ -235,3 +235,35 @@
 	}
 	require.LessOrEqual(t, len(r.workers["w0"].journal()), 3, "a worker that has failed three jobs is put aside")
 }
+
+// TestRestartWhileStarting restarts a worker after a task has begun there and before
+// the planner has noted it, and requires that both kinds of job are answered.
+func TestRestartWhileStarting(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, plain("a"))
+	var restarts sync.Map
+	ports := func(p gang.Ports) gang.Ports {
+		start := p.Go
+		p.Go = func(ctx context.Context, w string, q port.TokenRequest) (port.Reply, error) {
+			reply, err := start(ctx, w, q)
+			if n, _ := restarts.LoadOrStore("count", new(int)); *n.(*int) < 2 {
+				*n.(*int)++
+				r.workers["w0"].restart(t.Context())
+				time.Sleep(300 * time.Millisecond) // the new incarnation is reported
+			}
+
+			return reply, err
+		}
+
+		return p
+	}
+	x := r.start("x", ports)
+	pay := once(jobOf("a", "pay", 1, 1, 50*time.Millisecond))
+	a, err := r.caller(x).Submit(context.Background(), pay, 5*time.Second)
+	require.NoError(t, err)
+	require.Equal(t, code.Unknown, a.Code, a.Reason)
+	b, err := r.caller(x).Submit(context.Background(), jobOf("a", "again", 1, 1, 50*time.Millisecond), 8*time.Second)
+	require.NoError(t, err)
+	require.NoError(t, ownAnswer(b, job.Key{Workspace: "a", ID: "again"}))
+	require.Len(t, r.begun()[pay.Key()], 1)
+}
