--- a/internal/peer/entry/members.go
+++ b/internal/peer/entry/members.go
@@ -47,13 +47,11 @@
 	}
 )
 
-// NewClient returns the HTTP client for calls between entry VMs. Its connections
-// are closed when a call is not answered in time, so that the next one dials anew.
-func NewClient(call time.Duration) *http.Client {
-	return &http.Client{
-		Timeout:   call,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute},
-	}
+// NewClient returns the HTTP client for calls between entry VMs. Each call is bounded
+// by its context; the connection of one that is not answered in time is closed, so
+// that the next one dials anew.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 }
 
 // Start prepares the table.
--- a/internal/run/serve/capacity_test.go
+++ b/internal/run/serve/capacity_test.go
@@ -90,7 +90,7 @@
 func BenchmarkCapacityBeat(b *testing.B) {
 	self := entry.Member{Name: "entry-0001", Address: "10.0.0.1:7201", Region: "region-1", Domain: "domain-01", Life: "abcdef012345", Ready: true, Config: 1 << 30, Jobs: 1 << 30}
 	m := &entry.Members{Self: func() entry.Member { return self }, Seeds: func() []string { return nil }, Suspect: time.Hour, Call: time.Second, Now: time.Now}
-	m.Start(entry.NewClient(time.Second))
+	m.Start(entry.NewClient())
 	w, addr := serveCounted(b, (&entry.Server{Members: m}).Handler())
 	peer := m.Peer(addr)
 	other := self
--- a/internal/run/serve/jobs.go
+++ b/internal/run/serve/jobs.go
@@ -169,6 +169,9 @@
 	if !ok {
 		return nil, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, v.Settings.Timing.Call.Duration)
+	defer cancel()
+
 	reply, err := v.members.Peer(m.Address).Offer(ctx, &entrypb.OfferRequest{Job: raw})
 	if err != nil {
 		return nil, true // the planner may have taken it
--- a/internal/run/serve/peers.go
+++ b/internal/run/serve/peers.go
@@ -126,7 +126,9 @@
 		return
 	}
 	peer := v.members.Peer(best.Address)
-	reply, err := peer.Records(ctx, &entrypb.RecordsRequest{Stream: stream, From: tail.Applied() + 1, Max: fetchMax})
+	short, stop := context.WithTimeout(ctx, v.Settings.Timing.Call.Duration)
+	reply, err := peer.Records(short, &entrypb.RecordsRequest{Stream: stream, From: tail.Applied() + 1, Max: fetchMax})
+	stop()
 	if err != nil {
 		return
 	}
@@ -255,6 +257,9 @@
 
 // racks returns the occupancy of all regions, asking their planners.
 func (v *VM) racks(ctx context.Context) []plan.Occupancy {
+	ctx, cancel := context.WithTimeout(ctx, v.Settings.Timing.Call.Duration)
+	defer cancel()
+
 	out := v.ownRacks(ctx)
 	asked := map[string]bool{v.Settings.Name: true}
 	for _, r := range v.config.get().Fleet.Racks {
--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -116,7 +116,7 @@
 func (v *VM) wire() {
 	t := v.Settings.Timing
 	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
-	v.client = entry.NewClient(t.Call.Duration)
+	v.client = entry.NewClient()
 	v.workers = worker.NewClient(t.Call.Duration)
 	v.config = newConfigStore()
 	v.ledger = ledger.New(func() time.Duration { return v.config.get().Policy.Keep.Duration })
