Keep the store in reach through other VMs; take a dead planner's lease at once

After all VMs had lost power, nobody planned for 3 s although every process was up again.

Change: a relay makes the store's calls through another VM while the direct way fails; what may have been executed stays unknown, also if another VM is refused. A beat tells the age and number of the holder's newest renewal, so that the wait counts from there; a holder whose address answers with another process is gone at once, one with nothing listening after 0.8 s.

Ruled out: taking the lease at a refused connection without any wait (two VMs that are cut from each other would take it by turns).

Scripts turnedaway (1.4 s to accept a job without the relay) and replaced fail without the change.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -24,6 +24,7 @@
 	"sesameyoke/internal/run/lead"
 	"sesameyoke/internal/run/logs"
 	"sesameyoke/internal/run/metrics"
+	"sesameyoke/internal/run/relay"
 	"sesameyoke/platform"
 )
 
@@ -40,6 +41,7 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
 	leaseLife     = 1800 * time.Millisecond // an unchanged lease may be taken after
+	leaseBrief    = 800 * time.Millisecond  // the same while nothing listens at the planner's address
 	leaseRenew    = 500 * time.Millisecond
 	leaseKeep     = 6 * time.Second // a planner that cannot reach the store acts for so long
 	storeCall     = 700 * time.Millisecond
@@ -101,21 +103,24 @@
 
 func newVM(boot platform.Boot, l *plog.Logger) *vm {
 	v := &vm{boot: boot, log: l, metrics: metrics.New()}
-	st := platform.NewStore(boot.Store)
+	direct := platform.NewStore(boot.Store)
 	peers := &planner.Client{HTTP: &http.Client{Transport: platform.NewTransport()}}
+	st := relay.New(relay.Config{
+		Direct: direct, Peers: func() []string { return v.entry.Others() }, Via: peers.Store, Boot: sinceBoot, Log: l,
+	})
 	address := net.JoinHostPort(boot.IP, strconv.Itoa(boot.Ports[0]))
 	name := boot.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	follower := &entry.Follower{Operator: platform.NewOperator(st), Wait: policyWait, Boot: sinceBoot, Log: l}
+	follower := &entry.Follower{Operator: platform.NewOperator(direct), Wait: policyWait, Boot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
-		Store: st, Name: name, Address: address, Life: leaseLife, Renew: leaseRenew, Keep: leaseKeep, Call: storeCall,
+		Store: st, Name: name, Address: address, Life: leaseLife, Brief: leaseBrief, Renew: leaseRenew, Keep: leaseKeep, Call: storeCall,
 		Beat: beatEvery, Defer: min(deferMost, time.Duration(float64(deferUnit)/max(boot.Cores, minCores))), Boot: sinceBoot, Log: l,
-		Ask: func(ctx context.Context, h lead.Holder) (time.Duration, error) { return v.entry.Ask(ctx, h) },
+		Ask: func(ctx context.Context, h lead.Holder) (lead.Sign, error) { return v.entry.Ask(ctx, h) },
 		Plan: func(ctx context.Context, lease *lead.Lease) {
 			v.plan(ctx, v.engineConfig(st, lease, follower))
 		},
 	})
 	v.entry = entry.New(entry.Config{
-		Name: name, Address: address, Store: st, Follower: follower, Elector: v.elector, Peers: peers, Revoke: boot.Revoke,
+		Name: name, Address: address, Store: st, Direct: direct, Follower: follower, Elector: v.elector, Peers: peers, Revoke: boot.Revoke,
 		Boot: sinceBoot, Log: l, Observe: v.metrics.Time,
 	})
 	follower.Ask = v.entry.AskPolicy
--- a/internal/peer/planner/client.go
+++ b/internal/peer/planner/client.go
@@ -25,9 +25,11 @@
 
 	// Standing is what the planner tells of itself.
 	Standing struct {
+		Name    string // of the VM asked, with its incarnation
 		Plans   bool
 		Token   int64
 		Age     time.Duration // since its lease was renewed
+		Renewal int64         // number of that renewal
 		Peers   []string
 		Pending map[string]int32
 		Counted bool // Pending is known
@@ -56,7 +58,10 @@
 		return Standing{}, errors.Wrapf(err, "beat to %s", to)
 	}
 
-	return Standing{Plans: r.Plans, Token: r.Token, Age: time.Duration(r.Age) * time.Millisecond, Peers: r.Peers, Pending: r.Pending, Counted: r.Counted}, nil
+	return Standing{
+		Name: r.Name, Plans: r.Plans, Token: r.Token, Age: time.Duration(r.Age) * time.Millisecond, Renewal: r.Renewal,
+		Peers: r.Peers, Pending: r.Pending, Counted: r.Counted,
+	}, nil
 }
 
 // Submit hands a job's record to a VM; any error leaves the outcome open.
--- a/internal/peer/planner/server.go
+++ b/internal/peer/planner/server.go
@@ -8,6 +8,7 @@
 	"sesameyoke/internal/core/code"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/planner/plannerpb"
+	"sesameyoke/internal/peer/store"
 )
 
 // Server answers other VMs.
@@ -17,6 +18,7 @@
 	Cancel func(ctx context.Context, id, workspace string, relayed bool) code.Code
 	State  func(ctx context.Context, id, workspace string, relayed bool) (work.Phase, code.Code)
 	Policy func(have int64) (version int64, record []byte, age time.Duration)
+	Store  *store.Store // as this VM reaches it
 }
 
 var _ plannerpb.Planner = service{}
@@ -31,7 +33,9 @@
 func (v service) Beat(_ context.Context, r *plannerpb.BeatRequest) (*plannerpb.BeatReply, error) {
 	st := v.s.Beat(r.Name, r.Address)
 
-	return &plannerpb.BeatReply{Plans: st.Plans, Token: st.Token, Age: st.Age.Milliseconds(), Peers: st.Peers, Pending: st.Pending, Counted: st.Counted}, nil
+	return &plannerpb.BeatReply{
+		Plans: st.Plans, Token: st.Token, Age: st.Age.Milliseconds(), Peers: st.Peers, Pending: st.Pending, Counted: st.Counted, Name: st.Name, Renewal: st.Renewal,
+	}, nil
 }
 
 // Submit takes a job.
--- /dev/null
+++ b/internal/peer/planner/store.go
@@ -0,0 +1,163 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/peer/planner/plannerpb"
+	"sesameyoke/internal/peer/store"
+)
+
+// Calls of the store that a VM makes for another.
+const (
+	appendCall = "append"
+	readCall   = "read"
+	newestCall = "newest"
+)
+
+// Faults of a call to the store, as they are told to the VM that asked.
+const (
+	refusedFault   = "refused"
+	unknownFault   = "unknown"
+	fencedFault    = "fenced"
+	conditionFault = "condition"
+	sequenceFault  = "sequence"
+	truncatedFault = "truncated"
+)
+
+// Store returns the platform's store as the VM at an address reaches it. Without
+// an answer of that VM the outcome of an append is unknown.
+func (c *Client) Store(to string) *store.Store {
+	return &store.Store{
+		Append: func(ctx context.Context, a store.Append) (int64, error) {
+			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{
+				Call: appendCall, Topic: a.Topic, Records: recordsOut(a.Records), At: a.At, Producer: a.Producer, Epoch: a.Epoch, Sequence: a.Sequence,
+			})
+			if err != nil {
+				return 0, err
+			}
+
+			return r.End, nil
+		},
+		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) (store.Range, error) {
+			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{Call: readCall, Topic: topic, From: from, Wait: wait.Milliseconds()})
+			if err != nil {
+				return store.Range{}, err
+			}
+
+			return store.Range{Records: recordsIn(r.Records), End: r.End, First: r.First}, nil
+		},
+		Newest: func(ctx context.Context, topic, after string) (store.Page, error) {
+			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{Call: newestCall, Topic: topic, After: after})
+			if err != nil {
+				return store.Page{}, err
+			}
+
+			return store.Page{Records: recordsIn(r.Records), More: r.More, End: r.End}, nil
+		},
+	}
+}
+
+func (c *Client) storeCall(ctx context.Context, to string, q *plannerpb.StoreRequest) (*plannerpb.StoreReply, error) {
+	r, err := c.peer(to).Store(ctx, q)
+	if err != nil {
+		return nil, errors.Wrapf(store.ErrUnknown, "%s through %s: %v", q.Call, to, err)
+	}
+
+	return r, errors.Wrapf(faultError(r), "through %s", to)
+}
+
+// faultError returns the error that a reply tells, or nil.
+func faultError(r *plannerpb.StoreReply) error {
+	switch r.Fault {
+	case "":
+		return nil
+	case refusedFault:
+		return errors.Wrap(store.ErrRefused, r.Reason)
+	case fencedFault:
+		return store.ErrFenced
+	case conditionFault:
+		return &store.ConditionError{End: r.Number}
+	case sequenceFault:
+		return &store.SequenceError{Want: r.Number}
+	case truncatedFault:
+		return &store.TruncatedError{First: r.Number}
+	}
+
+	return errors.Wrap(store.ErrUnknown, r.Reason)
+}
+
+// faultReply tells an error of the store.
+func faultReply(err error) *plannerpb.StoreReply {
+	var (
+		condition *store.ConditionError
+		sequence  *store.SequenceError
+		truncated *store.TruncatedError
+	)
+	r := &plannerpb.StoreReply{Fault: unknownFault, Reason: err.Error()}
+	switch {
+	case errors.Is(err, store.ErrRefused):
+		r.Fault = refusedFault
+	case errors.Is(err, store.ErrFenced):
+		r.Fault = fencedFault
+	case errors.As(err, &condition):
+		r.Fault, r.Number = conditionFault, condition.End
+	case errors.As(err, &sequence):
+		r.Fault, r.Number = sequenceFault, sequence.Want
+	case errors.As(err, &truncated):
+		r.Fault, r.Number = truncatedFault, truncated.First
+	}
+
+	return r
+}
+
+// Store makes one call to the platform's store for another VM.
+func (v service) Store(ctx context.Context, q *plannerpb.StoreRequest) (*plannerpb.StoreReply, error) {
+	r, err := v.storeReply(ctx, q)
+	if err != nil {
+		return faultReply(err), nil
+	}
+
+	return r, nil
+}
+
+func (v service) storeReply(ctx context.Context, q *plannerpb.StoreRequest) (*plannerpb.StoreReply, error) {
+	switch q.Call {
+	case appendCall:
+		end, err := v.s.Store.Append(ctx, store.Append{
+			Topic: q.Topic, Records: recordsIn(q.Records), At: q.At, Producer: q.Producer, Epoch: q.Epoch, Sequence: q.Sequence,
+		})
+
+		return &plannerpb.StoreReply{End: end}, err
+	case readCall:
+		r, err := v.s.Store.Read(ctx, q.Topic, q.From, time.Duration(q.Wait)*time.Millisecond)
+
+		return &plannerpb.StoreReply{Records: recordsOut(r.Records), End: r.End, First: r.First}, err
+	case newestCall:
+		p, err := v.s.Store.Newest(ctx, q.Topic, q.After)
+
+		return &plannerpb.StoreReply{Records: recordsOut(p.Records), More: p.More, End: p.End}, err
+	}
+
+	return nil, errors.Wrapf(store.ErrRefused, "call %q is not known", q.Call)
+}
+
+func recordsOut(rs []store.Record) []*plannerpb.StoreRecord {
+	out := make([]*plannerpb.StoreRecord, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, &plannerpb.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+
+	return out
+}
+
+func recordsIn(rs []*plannerpb.StoreRecord) []store.Record {
+	in := make([]store.Record, 0, len(rs))
+	for _, r := range rs {
+		in = append(in, store.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+
+	return in
+}
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/run/engine"
 	"sesameyoke/internal/run/lead"
+	"sesameyoke/internal/run/relay"
 	"sesameyoke/internal/standin/fleet"
 )
 
@@ -102,10 +104,12 @@
 			<-*c
 		}
 	}
-	st := r.store.For(name, gate)
+	st := relay.New(relay.Config{
+		Direct: r.store.For(name, gate), Peers: func() []string { return r.others(name) }, Via: r.through, Boot: r.boot, Log: r.log,
+	})
 	workers := r.fleet.For(name, gate)
 	v.elector = lead.New(lead.Config{
-		Store: st, Name: v.name, Address: name, Life: 1800 * time.Millisecond, Renew: 500 * time.Millisecond, Keep: 6 * time.Second,
+		Store: st, Name: v.name, Address: name, Life: 1800 * time.Millisecond, Brief: 800 * time.Millisecond, Renew: 500 * time.Millisecond, Keep: 6 * time.Second,
 		Call: 700 * time.Millisecond, Beat: 500 * time.Millisecond, Boot: r.boot, Log: r.log,
 		Ask: r.ask,
 		Plan: func(ctx context.Context, l *lead.Lease) {
@@ -143,20 +147,66 @@
 	return c
 }
 
+// others names the other VMs that run.
+func (r *rig) others(name string) []string {
+	var all []string
+	for n := range r.running() {
+		if n != name {
+			all = append(all, n)
+		}
+	}
+	slices.Sort(all)
+
+	return all
+}
+
+// through returns the store as another VM makes calls to it.
+func (r *rig) through(name string) *store.Store {
+	v := r.get(name)
+	if v == nil || v.frozen.Load() != nil || v.cutOff.Load() {
+		return silentStore()
+	}
+
+	return r.store.For(name, func() {})
+}
+
+// silentStore never answers.
+func silentStore() *store.Store {
+	wait := func(ctx context.Context) error {
+		<-ctx.Done()
+
+		return errors.Wrap(store.ErrUnknown, "no answer")
+	}
+
+	return &store.Store{
+		Append: func(ctx context.Context, _ store.Append) (int64, error) { return 0, wait(ctx) },
+		Read: func(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Range, error) {
+			return store.Range{}, wait(ctx)
+		},
+		Newest: func(ctx context.Context, _, _ string) (store.Page, error) { return store.Page{}, wait(ctx) },
+	}
+}
+
 // ask stands for the beat between VMs.
-func (r *rig) ask(ctx context.Context, h lead.Holder) (time.Duration, error) {
+func (r *rig) ask(ctx context.Context, h lead.Holder) (lead.Sign, error) {
 	v := r.get(h.Address)
-	if v == nil || v.name != h.Name || v.cutOff.Load() || v.frozen.Load() != nil {
+	switch {
+	case v == nil:
+		return lead.Sign{}, lead.ErrNoProcess
+	case v.cutOff.Load() || v.frozen.Load() != nil:
 		<-ctx.Done()
 
-		return 0, errors.New("no answer")
+		return lead.Sign{}, errors.New("no answer")
+	case v.name != h.Name:
+		return lead.Sign{}, lead.ErrReplaced
 	}
 	l := v.elector.Lease()
 	if l == nil || l.Token != h.Token {
-		return 0, errors.New("does not plan")
+		return lead.Sign{}, errors.New("does not plan")
 	}
+	age, renewal := l.Renewed()
 
-	return l.Age(), nil
+	return lead.Sign{Age: age, Renewal: renewal}, nil
 }
 
 // kill ends a VM at once: nothing that it began is finished or answered.
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -52,6 +52,9 @@
 		time.Sleep(time.Second)
 	case "kill":
 		r.kill(name)
+	case "restart":
+		r.kill(name)
+		r.start(name)
 	case "freeze":
 		r.freeze(name)
 	case "thaw":
@@ -166,7 +169,14 @@
 		next.After, next.Gang = []int{0}, false
 		j.Steps = append(j.Steps, next)
 	}
-	if r.submit(j) {
+	within := 60000
+	d.MaybeScanArgs(t, "within", &within)
+	began := time.Now()
+	accepted := r.submit(j)
+	switch took := time.Since(began); {
+	case accepted && took > time.Duration(within)*time.Millisecond:
+		return fmt.Sprintf("accepted after %v", took)
+	case accepted:
 		return "accepted"
 	}
 
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -38,8 +38,9 @@
 	// Config of an Entry.
 	Config struct {
 		Name     string
-		Address  string // for calls between VMs
-		Store    *store.Store
+		Address  string       // for calls between VMs
+		Store    *store.Store // by the way that works
+		Direct   *store.Store // as this VM itself reaches it
 		Follower *Follower
 		Elector  *lead.Elector
 		Peers    *planner.Client
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,13 +17,17 @@
 const peerLife = 10 * time.Second // a VM that has not been heard of for so long is forgotten
 
 // Ask asks the planner for its standing and takes over what it tells.
-func (e *Entry) Ask(ctx context.Context, h lead.Holder) (time.Duration, error) {
+func (e *Entry) Ask(ctx context.Context, h lead.Holder) (lead.Sign, error) {
 	st, err := e.Peers.Beat(ctx, h.Address, e.Name, e.Address)
-	if err != nil {
-		return 0, err
-	}
-	if !st.Plans || st.Token != h.Token {
-		return 0, errors.Errorf("VM %q does not plan under token %d", h.Name, h.Token)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return lead.Sign{}, errors.Wrap(lead.ErrNoProcess, err.Error())
+	case err != nil:
+		return lead.Sign{}, err
+	case st.Name != "" && st.Name != h.Name:
+		return lead.Sign{}, errors.Wrapf(lead.ErrReplaced, "VM %q has become %q", h.Name, st.Name)
+	case !st.Plans || st.Token != h.Token:
+		return lead.Sign{}, errors.Errorf("VM %q does not plan under token %d", h.Name, h.Token)
 	}
 	now := e.Boot()
 	if st.Counted {
@@ -33,12 +39,14 @@
 		e.peers[p] = now
 	}
 
-	return st.Age, nil
+	return lead.Sign{Age: st.Age, Renewal: st.Renewal}, nil
 }
 
 // Server answers the other VMs.
 func (e *Entry) Server() *planner.Server {
-	return &planner.Server{Beat: e.beat, Submit: e.submitFor, Cancel: e.cancelFor, State: e.stateFor, Policy: e.Follower.Tell}
+	return &planner.Server{
+		Beat: e.beat, Submit: e.submitFor, Cancel: e.cancelFor, State: e.stateFor, Policy: e.Follower.Tell, Store: e.Direct,
+	}
 }
 
 func (e *Entry) beat(_, address string) planner.Standing {
@@ -58,12 +66,14 @@
 	}
 	e.mu.Unlock()
 	if g == nil || l == nil {
-		return planner.Standing{Peers: peers}
+		return planner.Standing{Name: e.Name, Peers: peers}
 	}
-
 	n, ok := g.Pending()
+	age, renewal := l.Renewed()
 
-	return planner.Standing{Plans: true, Token: l.Token, Age: l.Age(), Peers: append(peers, e.Address), Pending: n, Counted: ok}
+	return planner.Standing{
+		Name: e.Name, Plans: true, Token: l.Token, Age: age, Renewal: renewal, Peers: append(peers, e.Address), Pending: n, Counted: ok,
+	}
 }
 
 // submitFor takes a job from another VM; it relays it at most once.
@@ -107,3 +117,18 @@
 func Deadline(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, max(wait-answerSlack, wait/2))
 }
+
+// Others returns the addresses of the other VMs that are known, in any order.
+func (e *Entry) Others() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]string, 0, len(e.peers))
+	for a := range e.peers {
+		if a != e.Address {
+			all = append(all, a)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+
+	return all
+}
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -15,6 +15,13 @@
 	"sesameyoke/internal/peer/store"
 )
 
+var (
+	// ErrReplaced means that another process has the holder's address.
+	ErrReplaced = errors.New("holder's process has been replaced")
+	// ErrNoProcess means that nothing listens at the holder's address.
+	ErrNoProcess = errors.New("nothing listens at the holder's address")
+)
+
 const (
 	topic = "keyed.lead" // holds the lease's record only
 	key   = "planner"
@@ -31,12 +38,19 @@
 		Released bool
 	}
 
+	// Sign is what a planner tells of its lease.
+	Sign struct {
+		Age     time.Duration // since the newest renewal
+		Renewal int64         // its number
+	}
+
 	// Config of an Elector.
 	Config struct {
 		Store   *store.Store
 		Name    string
 		Address string
 		Life    time.Duration        // after which an unchanged lease may be taken
+		Brief   time.Duration        // the same, if nothing listens at the holder's address
 		Renew   time.Duration        // between renewals
 		Keep    time.Duration        // a holder acts for so long after its newest renewal
 		Call    time.Duration        // bound of one call to the store
@@ -45,8 +59,8 @@
 		Boot    func() time.Duration // time since boot, suspension included
 		Log     *log.Logger
 
-		// Ask returns how long ago the holder renewed its lease.
-		Ask func(ctx context.Context, h Holder) (time.Duration, error)
+		// Ask asks the holder's VM for a sign of the planner.
+		Ask func(ctx context.Context, h Holder) (Sign, error)
 		// Plan runs the planner until its context ends or the lease is lost.
 		Plan func(ctx context.Context, l *Lease)
 	}
@@ -61,6 +75,9 @@
 		end     int64         // offset after the newest record
 		since   time.Duration // the record has been seen unchanged since
 		sound   bool          // the newest reading succeeded
+		sign    Sign          // the holder's newest one
+		signed  time.Duration // the renewal that it names was made at
+		life    time.Duration // after which the holder's unchanged lease may be taken
 		lease   *Lease
 		leaving bool
 		wake    chan struct{}
@@ -73,6 +90,7 @@
 		boot    func() time.Duration
 		until   atomic.Int64    // boot time up to which orders may be given
 		renewed atomic.Int64    // boot time of the newest renewal
+		renewal atomic.Int64    // its number
 		ctx     context.Context // ends with the lease
 		cancel  context.CancelFunc
 	}
@@ -80,7 +98,7 @@
 
 // New returns an elector that knows nothing.
 func New(c Config) *Elector {
-	return &Elector{Config: c, wake: make(chan struct{}, 1)}
+	return &Elector{Config: c, life: c.Life, wake: make(chan struct{}, 1)}
 }
 
 // Valid reports whether orders may be given under the lease.
@@ -89,6 +107,9 @@
 // Age returns the time since the newest renewal.
 func (l *Lease) Age() time.Duration { return l.boot() - time.Duration(l.renewed.Load()) }
 
+// Renewed returns the time since the newest renewal, and its number.
+func (l *Lease) Renewed() (time.Duration, int64) { return l.Age(), l.renewal.Load() }
+
 // Lose ends the planner; another one has been seen.
 func (l *Lease) Lose() {
 	l.until.Store(0)
@@ -171,9 +192,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.Call)
 	defer cancel()
-	age, err := e.Ask(ctx, h)
+	sign, err := e.Ask(ctx, h)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life = e.Life
+	switch {
+	case err == nil:
+		e.sign, e.signed = sign, e.Boot()-sign.Age
+	case errors.Is(err, ErrReplaced):
+		e.life = 0
+	case errors.Is(err, ErrNoProcess):
+		e.life = e.Brief
+	}
 
-	return err == nil && age < e.Life
+	return err == nil && sign.Age < e.Life
 }
 
 // observe reads the lease's record.
@@ -205,11 +237,17 @@
 
 			continue
 		}
+		if h.Token != e.holder.Token {
+			e.signed, e.life = 0, e.Life // what is known is of another holder
+		}
 		if h.Token != e.holder.Token || h.Released != e.holder.Released {
 			e.Log.Info().Str("event", "planner-seen").Str("planner", h.Name).Int64("token", h.Token).Bool("released", h.Released).Msg("")
 		}
 		e.holder = h
 	}
+	if e.signed != 0 && e.sign.Renewal == e.holder.Renewal {
+		e.since = min(e.since, e.signed) // the holder itself has told when it renewed
+	}
 
 	return nil
 }
@@ -231,7 +269,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return e.holder.Token == 0 || e.holder.Released || e.Boot()-e.since >= e.Life
+	return e.holder.Token == 0 || e.holder.Released || e.Boot()-e.since >= e.life
 }
 
 // tryTake takes the lease if it is free, or finds it taken by an earlier call.
@@ -254,7 +292,7 @@
 	}
 	l := &Lease{Token: next.Token, boot: e.Boot}
 	l.ctx, l.cancel = context.WithCancel(ctx)
-	l.extend(sent, e.Keep)
+	l.extend(sent, e.Keep, next.Renewal)
 	e.mu.Lock()
 	e.holder, e.end, e.lease, e.since = next, now, l, sent
 	e.mu.Unlock()
@@ -263,8 +301,9 @@
 	return l
 }
 
-func (l *Lease) extend(sent, keep time.Duration) {
+func (l *Lease) extend(sent, keep time.Duration, renewal int64) {
 	l.renewed.Store(int64(sent))
+	l.renewal.Store(renewal)
 	l.until.Store(int64(sent + keep))
 }
 
@@ -317,7 +356,7 @@
 		e.mu.Lock()
 		e.holder, e.end = h, now
 		e.mu.Unlock()
-		l.extend(sent, e.Keep)
+		l.extend(sent, e.Keep, h.Renewal)
 
 		return true
 	}
--- /dev/null
+++ b/internal/run/relay/relay_test.go
@@ -0,0 +1,167 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/peer/store"
+	"sesameyoke/internal/run/relay"
+	"sesameyoke/internal/standin/fleet"
+)
+
+const (
+	self     = "self"
+	callTime = 700 * time.Millisecond
+)
+
+// TestWays plays testdata: what the store and the other VMs do, the calls that
+// this VM makes, and by which way each one went.
+func TestWays(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig()
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				return r.perform(t, d)
+			})
+		})
+	})
+}
+
+// rig is one VM with others over the emulated store.
+type rig struct {
+	store *fleet.Store
+	relay *store.Store
+	ways  []string
+	peers []string
+	mute  map[string]bool // gets no answer, and what it sends is executed
+	began time.Time
+	seq   int64
+}
+
+func newRig() *rig {
+	r := &rig{store: fleet.NewStore(func() float64 { return 1 }), mute: map[string]bool{}, began: time.Now()}
+	r.relay = relay.New(relay.Config{
+		Direct: r.by(self),
+		Peers:  func() []string { return append([]string(nil), r.peers...) },
+		Via:    r.by,
+		Boot:   func() time.Duration { return time.Hour + time.Since(r.began) },
+		Log:    &log.Logger{Level: log.PanicLevel},
+	})
+
+	return r
+}
+
+// by returns the store as one VM reaches it, and notes each call.
+func (r *rig) by(name string) *store.Store {
+	s := r.store.For(name, func() {})
+
+	return &store.Store{
+		Append: func(ctx context.Context, a store.Append) (int64, error) {
+			r.ways = append(r.ways, name)
+			end, err := s.Append(ctx, a)
+			if err == nil && r.mute[name] {
+				<-ctx.Done()
+
+				return 0, errors.Wrap(store.ErrUnknown, "answer lost")
+			}
+
+			return end, err
+		},
+		Read: func(ctx context.Context, topic string, from int64, wait time.Duration) (store.Range, error) {
+			r.ways = append(r.ways, name)
+
+			return s.Read(ctx, topic, from, wait)
+		},
+		Newest: func(ctx context.Context, topic, after string) (store.Page, error) {
+			r.ways = append(r.ways, name)
+
+			return s.Newest(ctx, topic, after)
+		},
+	}
+}
+
+func (r *rig) perform(t *testing.T, d *datadriven.TestData) string {
+	args := make([]string, 0, len(d.CmdArgs))
+	for _, a := range d.CmdArgs {
+		args = append(args, a.Key)
+	}
+	r.ways = nil
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	var err error
+	switch d.Cmd {
+	case "peers":
+		r.peers = args
+
+		return ""
+	case "cut", "join":
+		r.store.Cut(args[0], d.Cmd == "cut")
+
+		return ""
+	case "mute":
+		r.mute[args[0]] = true
+
+		return ""
+	case "store":
+		r.store.SetFaults(fleet.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")})
+
+		return ""
+	case "sleep":
+		length, err := time.ParseDuration(args[0])
+		require.NoError(t, err)
+		time.Sleep(length)
+
+		return ""
+	case "append":
+		_, err = r.relay.Append(ctx, r.append(t, d))
+	case "newest":
+		var p store.Page
+		p, err = r.relay.Newest(ctx, "keyed.t", "")
+		for _, rec := range p.Records {
+			r.ways = append(r.ways, rec.Key+"="+string(rec.Value))
+		}
+	default:
+		t.Fatalf("command %q is not known", d.Cmd)
+	}
+
+	return fmt.Sprintf("%s: %s", strings.Join(r.ways, " "), outcome(err))
+}
+
+// append builds an append: fenced unless it says otherwise.
+func (r *rig) append(t *testing.T, d *datadriven.TestData) store.Append {
+	a := store.Append{Topic: "keyed.t", At: -1, Records: []store.Record{{Key: d.CmdArgs[0].Key, Value: []byte("x")}}}
+	switch {
+	case d.HasArg("at"):
+		d.ScanArgs(t, "at", &a.At)
+	case !d.HasArg("plain"):
+		a.Producer, a.Epoch, a.Sequence = "p", 1, r.seq
+		r.seq++
+	}
+
+	return a
+}
+
+func outcome(err error) string {
+	var c *store.ConditionError
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, store.ErrUnknown):
+		return "unknown"
+	case errors.Is(err, store.ErrRefused):
+		return "refused"
+	case errors.As(err, &c):
+		return c.Error()
+	}
+
+	return err.Error()
+}
