Hand the planner's lease over; judge workers by the progress of their runs

A planner that leaves now offers its lease to a strong VM that has begun last; a successor reads the list of workers beside the records and plans once six in seven workers have reported; the lease is renewed every 0.4 s and taken after 1.4 s.

Cause (2): nothing told a worker that is slow or stands still from a long task: tasks of a worker that stood still for 4 s waited there, others joined them, and run times learnt after a takeover counted from the takeover. Progress as the workers report it, by their own clocks, now gives each run's rate (core/watch): a worker whose runs stand still gets no starts, slow ones are used last, runs move where that ends them sooner and room is free, what saves leaves a draining worker in time, and workers' lasting differences (0.8 to 1.3 here) are learnt from gangs and steps: urgent work takes the fast ones.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -40,12 +40,12 @@
 	leaveReserve  = time.Second // of the grace period that is kept for the end
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	leaseLife     = 1800 * time.Millisecond // an unchanged lease may be taken after
+	leaseLife     = 1400 * time.Millisecond // an unchanged lease may be taken after
 	leaseBrief    = 800 * time.Millisecond  // the same while nothing listens at the planner's address
-	leaseRenew    = 500 * time.Millisecond
+	leaseRenew    = 400 * time.Millisecond
 	leaseKeep     = 6 * time.Second // a planner that cannot reach the store acts for so long
 	storeCall     = 700 * time.Millisecond
-	beatEvery     = 500 * time.Millisecond
+	beatEvery     = 400 * time.Millisecond
 	policyWait    = time.Second
 	deferUnit     = 60 * time.Millisecond // that a VM of one core leaves stronger ones to plan
 	deferMost     = 400 * time.Millisecond
@@ -109,18 +109,21 @@
 		Direct: direct, Peers: func() []string { return v.entry.Others() }, Via: peers.Store, Boot: sinceBoot, Log: l,
 	})
 	address := net.JoinHostPort(boot.IP, strconv.Itoa(boot.Ports[0]))
-	name := boot.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	born := time.Now()
+	name := boot.Name + "/" + strconv.FormatInt(born.UnixNano(), 36)
 	follower := &entry.Follower{Operator: platform.NewOperator(direct), Wait: policyWait, Boot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: name, Address: address, Life: leaseLife, Brief: leaseBrief, Renew: leaseRenew, Keep: leaseKeep, Call: storeCall,
 		Beat: beatEvery, Defer: min(deferMost, time.Duration(float64(deferUnit)/max(boot.Cores, minCores))), Boot: sinceBoot, Log: l,
-		Ask: func(ctx context.Context, h lead.Holder) (lead.Sign, error) { return v.entry.Ask(ctx, h) },
+		Ask:   func(ctx context.Context, h lead.Holder) (lead.Sign, error) { return v.entry.Ask(ctx, h) },
+		Heir:  func() (string, bool) { return v.entry.Heir() },
+		Offer: peers.Succeed,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
 			v.plan(ctx, v.engineConfig(st, lease, follower))
 		},
 	})
 	v.entry = entry.New(entry.Config{
-		Name: name, Address: address, Store: st, Direct: direct, Follower: follower, Elector: v.elector, Peers: peers, Revoke: boot.Revoke,
+		Name: name, Address: address, Cores: boot.Cores, Born: born.UnixMilli(), Store: st, Direct: direct, Follower: follower, Elector: v.elector, Peers: peers, Revoke: boot.Revoke,
 		Boot: sinceBoot, Log: l, Observe: v.metrics.Time,
 	})
 	follower.Ask = v.entry.AskPolicy
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -33,6 +33,7 @@
 			Lease: min(workerLease, v.boot.LongHold), LongHold: v.boot.LongHold, Overrun: leaseKeep - leaseLife, Wait: workerWait,
 			Call: workerCall, Discover: discoverEvery, Keep: v.boot.Status + v.boot.Status/4, Recover: recoverWait,
 			Evict: evictAfter, Claim: claimLife, Backoff: refusedPause, Straggle: straggle,
+			Restore: v.boot.Restore,
 		},
 		Policy: func() *policy.Policy { return f.Policy() },
 		Boot:   sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -27,6 +27,7 @@
 		Free    work.Shape
 		Open    bool    // takes new work
 		Penalty float64 // 0 for a worker with a good record
+		Slow    float64 // how much longer than usual its runs take; 1 is usual
 		Claim   string  // unit that its room is kept for
 		Kept    int     // lowest priority that may not use it; 0 if all may
 		Runs    []Run
@@ -48,9 +49,10 @@
 		Avoid    map[int]bool // workers on which it has failed
 		Allowed  map[int]bool // the only workers that may run it; nil for any
 		Priority int
-		Claimed  bool // some worker's room is kept for it
-		Overdue  bool // has waited so long that it may use workers kept for others
-		Evicts   bool // may stop runs of a lower priority
+		Haste    float64 // what a fast worker is worth, in shares of a worker left free
+		Claimed  bool    // some worker's room is kept for it
+		Overdue  bool    // has waited so long that it may use workers kept for others
+		Evicts   bool    // may stop runs of a lower priority
 	}
 
 	// Placement puts one task on a worker.
@@ -74,6 +76,12 @@
 	}
 )
 
+const (
+	slowFrom  = 2.0 // slower workers are used last
+	rackDelay = 24  // accelerators left free on a rack that a delay of 1 is worth
+	slowCost  = 5.0 // for each time that such a worker takes longer
+)
+
 // Decide places units in the given order. It changes Free of the workers.
 func Decide(workers []Worker, units []Unit) Result {
 	r := Result{Claims: map[int]string{}}
@@ -193,17 +201,17 @@
 func placeOnRack(workers []Worker, racks map[string][]int, u *Unit) choice {
 	var (
 		best choice
-		left int
+		left float64
 	)
 	for _, rack := range sortedRacks(racks) {
 		c := fill(workers, racks[rack], u)
 		if len(c.at) < len(u.Tasks) {
 			continue
 		}
-		free := 0
+		free := rackDelay * slowest(workers, c.at, u)
 		for _, w := range racks[rack] {
 			if workers[w].Open {
-				free += workers[w].Free.Accelerators
+				free += float64(workers[w].Free.Accelerators)
 			}
 		}
 		if rack == u.Near {
@@ -217,6 +225,16 @@
 	return best
 }
 
+// slowest returns the delay of the slowest worker of a choice: a gang ends with it.
+func slowest(workers []Worker, at []int, u *Unit) float64 {
+	most := 0.0
+	for _, w := range at {
+		most = max(most, workers[w].delay(u))
+	}
+
+	return most
+}
+
 func sortedRacks(racks map[string][]int) []string {
 	names := make([]string, 0, len(racks))
 	for n := range racks {
@@ -254,7 +272,7 @@
 		if !u.Need.Fits(free) {
 			continue
 		}
-		x := w.Penalty + leftover(free.Minus(u.Need), w.Room)
+		x := w.Penalty + leftover(free.Minus(u.Need), w.Room) + w.delay(u)
 		if u.Near != "" && w.Rack != u.Near {
 			x += 10
 		}
@@ -266,6 +284,19 @@
 	return best
 }
 
+// delay is the cost of a worker's slowness to a unit. A passing slowness counts
+// for every unit.
+func (w *Worker) delay(u *Unit) float64 {
+	switch {
+	case w.Slow == 0:
+		return 0
+	case w.Slow >= slowFrom:
+		return slowCost * w.Slow
+	}
+
+	return u.Haste * (w.Slow - 1)
+}
+
 // allowed reports whether the unit may use a worker, apart from its room.
 func allowed(w *Worker, i int, u *Unit, c *choice) bool {
 	switch {
--- /dev/null
+++ b/internal/core/watch/watch_test.go
@@ -0,0 +1,99 @@
+package watch_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/watch"
+)
+
+// TestTrack plays testdata: readings of a run's progress, and what is made of them.
+func TestTrack(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		tracks := map[string]*watch.Track{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			name := d.CmdArgs[0].Key
+			switch d.Cmd {
+			case "run":
+				tracks[name] = readTrack(t, d.Input)
+
+				return ""
+			case "judge":
+				return judge(t, d, tracks[name])
+			case "move":
+				return fmt.Sprint(run(t, d, tracks[name]).Move())
+			case "worker":
+				return worker(t, d, tracks)
+			}
+			t.Fatalf("command %q is not known", d.Cmd)
+
+			return ""
+		})
+	})
+}
+
+// readTrack reads lines of a time and a percentage; the first one starts the run.
+func readTrack(t *testing.T, input string) *watch.Track {
+	k := &watch.Track{}
+	for i, line := range strings.Split(input, "\n") {
+		var (
+			at string
+			r  watch.Reading
+		)
+		_, err := fmt.Sscan(line, &at, &r.Percent)
+		require.NoError(t, err)
+		r.At, err = time.ParseDuration(at)
+		require.NoError(t, err)
+		if i == 0 {
+			k.Start(r)
+		} else {
+			k.Add(r)
+		}
+	}
+
+	return k
+}
+
+func duration(t *testing.T, d *datadriven.TestData, name string, missing time.Duration) time.Duration {
+	if !d.HasArg(name) {
+		return missing
+	}
+	var s string
+	d.ScanArgs(t, name, &s)
+	v, err := time.ParseDuration(s)
+	require.NoError(t, err)
+
+	return v
+}
+
+func judge(t *testing.T, d *datadriven.TestData, k *watch.Track) string {
+	u := watch.Usual{Length: duration(t, d, "usual", 0), Sure: d.HasArg("sure")}
+	factor, sure := k.Slow(u)
+
+	return fmt.Sprintf("length %v, still %v, slow %.1f sure %v", k.Length().Round(time.Millisecond), k.Still(u.Length), factor, sure)
+}
+
+func run(t *testing.T, d *datadriven.TestData, k *watch.Track) watch.Run {
+	return watch.Run{Track: k, Length: duration(t, d, "usual", 0), Saves: d.HasArg("saves"), Leaves: duration(t, d, "leaves", -1)}
+}
+
+// worker judges a worker by its runs, all of the same usual length.
+func worker(t *testing.T, d *datadriven.TestData, tracks map[string]*watch.Track) string {
+	var (
+		factors []float64
+		sure    []bool
+	)
+	for _, a := range d.CmdArgs {
+		if k := tracks[a.Key]; k != nil {
+			f, s := k.Slow(watch.Usual{Length: duration(t, d, "usual", 0)})
+			factors, sure = append(factors, f), append(sure, s)
+		}
+	}
+
+	return fmt.Sprintf("%.1f", watch.Slowness(factors, sure))
+}
--- a/internal/peer/planner/client.go
+++ b/internal/peer/planner/client.go
@@ -23,6 +23,15 @@
 		peers map[string]plannerpb.Planner
 	}
 
+	// VM is what a VM tells of itself.
+	VM struct {
+		Name    string // with its incarnation
+		Address string
+		Cores   float64 // that it may use
+		Born    int64   // start of its process, Unix milliseconds
+		Leaving bool    // it does not take the lease
+	}
+
 	// Standing is what the planner tells of itself.
 	Standing struct {
 		Name    string // of the VM asked, with its incarnation
@@ -52,8 +61,10 @@
 }
 
 // Beat asks a VM whether it plans, and tells it who asks.
-func (c *Client) Beat(ctx context.Context, to, name, address string) (Standing, error) {
-	r, err := c.peer(to).Beat(ctx, &plannerpb.BeatRequest{Name: name, Address: address})
+func (c *Client) Beat(ctx context.Context, to string, self VM) (Standing, error) {
+	r, err := c.peer(to).Beat(ctx, &plannerpb.BeatRequest{
+		Name: self.Name, Address: self.Address, Cores: self.Cores, Born: self.Born, Leaving: self.Leaving,
+	})
 	if err != nil {
 		return Standing{}, errors.Wrapf(err, "beat to %s", to)
 	}
@@ -64,6 +75,16 @@
 	}, nil
 }
 
+// Succeed offers a planner's lease to a VM and reports whether it has taken it.
+func (c *Client) Succeed(ctx context.Context, to string, token, end int64) (bool, error) {
+	r, err := c.peer(to).Succeed(ctx, &plannerpb.OfferRequest{Token: token, End: end})
+	if err != nil {
+		return false, errors.Wrapf(err, "offer the lease to %s", to)
+	}
+
+	return r.Taken, nil
+}
+
 // Submit hands a job's record to a VM; any error leaves the outcome open.
 func (c *Client) Submit(ctx context.Context, to string, record []byte, relayed bool) (code.Code, error) {
 	o, err := c.peer(to).Submit(ctx, &plannerpb.SubmitRequest{Record: record, Relayed: relayed})
--- a/internal/peer/planner/server.go
+++ b/internal/peer/planner/server.go
@@ -13,12 +13,14 @@
 
 // Server answers other VMs.
 type Server struct {
-	Beat   func(name, address string) Standing
+	Beat   func(from VM) Standing
 	Submit func(ctx context.Context, record []byte, relayed bool) code.Code
 	Cancel func(ctx context.Context, id, workspace string, relayed bool) code.Code
 	State  func(ctx context.Context, id, workspace string, relayed bool) (work.Phase, code.Code)
 	Policy func(have int64) (version int64, record []byte, age time.Duration)
 	Store  *store.Store // as this VM reaches it
+	// Succeed takes the lease of a planner that leaves, if it can.
+	Succeed func(ctx context.Context, token, end int64) bool
 }
 
 var _ plannerpb.Planner = service{}
@@ -31,13 +33,18 @@
 
 // Beat tells whether this VM plans.
 func (v service) Beat(_ context.Context, r *plannerpb.BeatRequest) (*plannerpb.BeatReply, error) {
-	st := v.s.Beat(r.Name, r.Address)
+	st := v.s.Beat(VM{Name: r.Name, Address: r.Address, Cores: r.Cores, Born: r.Born, Leaving: r.Leaving})
 
 	return &plannerpb.BeatReply{
 		Plans: st.Plans, Token: st.Token, Age: st.Age.Milliseconds(), Peers: st.Peers, Pending: st.Pending, Counted: st.Counted, Name: st.Name, Renewal: st.Renewal,
 	}, nil
 }
 
+// Succeed takes the lease of a planner that leaves.
+func (v service) Succeed(ctx context.Context, r *plannerpb.OfferRequest) (*plannerpb.OfferReply, error) {
+	return &plannerpb.OfferReply{Taken: v.s.Succeed(ctx, r.Token, r.End)}, nil
+}
+
 // Submit takes a job.
 func (v service) Submit(ctx context.Context, r *plannerpb.SubmitRequest) (*plannerpb.Outcome, error) {
 	return &plannerpb.Outcome{Code: int32(v.s.Submit(ctx, r.Record, r.Relayed))}, nil
--- a/internal/run/engine/broken_test.go
+++ b/internal/run/engine/broken_test.go
@@ -104,7 +104,7 @@
 	return func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
 		name, _ := r.planner()
 		r.freeze(name)
-		r.fleet.Drain(a.ID) // the successor takes the other worker
+		r.fleet.Drain(a.ID, 0) // the successor takes the other worker
 		go func() {
 			time.Sleep(4 * time.Second)
 			r.thaw(name)
@@ -231,3 +231,43 @@
 	}
 	c.Workers = &w
 }
+
+// TestStaleHandins has a successor that reads what entry VMs wrote before the
+// planner before has taken that in: it knows the progress of a job and not the job.
+// The task must not be started again beside the run that its predecessor began.
+func TestStaleHandins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 6 * time.Second, target.Done }
+		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 8000, Memory: 8000, Accelerators: 8})
+		r.fleet.Add("k1", "s", "r0", work.Shape{CPU: 8000, Memory: 8000, Accelerators: 8})
+		r.start("a")
+		time.Sleep(time.Second)
+		j := work.Job{ID: "j1", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 1, Need: work.Shape{Accelerators: 8}}}}
+		r.fleet.Submitted(j)
+		require.NoError(t, r.direct(context.Background(), work.Key(work.OpenRecord, "j1"), j))
+		time.Sleep(time.Second)
+		require.Len(t, r.fleet.Entries(), 1)
+		r.kill("a")
+		r.broken.config = withStaleHandins
+		r.start("b")
+		time.Sleep(30 * time.Second)
+		require.Equal(t, "completed", r.state("j1"))
+		require.Empty(t, r.fleet.Check())
+	})
+}
+
+// withStaleHandins lists no hand-in, and reads them all after that.
+func withStaleHandins(c *engine.Config) {
+	s := *c.Store
+	newest := s.Newest
+	s.Newest = func(ctx context.Context, topic, after string) (store.Page, error) {
+		if topic == engine.HandinTopic {
+			return store.Page{}, nil
+		}
+
+		return newest(ctx, topic, after)
+	}
+	c.Store = &s
+}
--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -72,7 +72,7 @@
 	w := e.workers[t.ID]
 	if w == nil {
 		w = newWorker(t)
-		w.listed = true
+		w.listed, w.leaves = true, e.Boot()+t.Left
 		w.bound = e.lapseBound()
 		e.stopLate(w)
 		e.workers[t.ID] = w
@@ -87,6 +87,9 @@
 		e.Log.Info().Str("event", "worker-draining").Str("worker", t.ID).Bool("draining", t.Draining).Dur("left", t.Left).Int("runs", len(w.runs)).Msg("")
 		e.kick()
 	}
+	if t.Draining && !w.Draining {
+		w.leaves = e.Boot() + t.Left
+	}
 	if !w.listed || w.Host != t.Host {
 		e.kick()
 	}
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -50,6 +50,7 @@
 		Evict    time.Duration // urgent work waits so long for room before it evicts
 		Claim    time.Duration // room that was made is kept for so long
 		Backoff  time.Duration // a worker that refused an order gets none for so long
+		Restore  time.Duration // a run takes so long to resume from a checkpoint
 		Straggle time.Duration // an order without an answer may be executed for so long
 	}
 
@@ -92,16 +93,19 @@
 		claims     map[string]claim // by worker
 		queues     map[string]policy.Queue
 		early      map[string]earlyCancel // cancellations of jobs that are not known
+		unread     map[string][]byte      // progress of jobs whose own record is not read yet
 		lateStarts map[string][]lateStart // by worker
 		learnt     map[string]*runTime    // by queue
 		advised    map[string]*advice     // by step
 		asking     string                 // step that is being asked for
 		ready      bool
 		began      time.Duration
+		found      *Listing      // first reading of the list of workers
 		tail       int64         // offset in HandinTopic
 		tailed     time.Duration // when the newest reading of it was asked for
 
 		lastPass time.Duration // how long the newest pass took
+		reviewed time.Duration // the runs were last reviewed at
 
 		writer  writer
 		kicked  chan struct{}
@@ -138,6 +142,7 @@
 		accepted time.Duration
 		dirty    bool
 		bad      map[string]int // failed runs by worker
+		lengths  map[stepOf]tally
 	}
 )
 
@@ -145,7 +150,7 @@
 func New(c Config) *Engine {
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
-		claims: map[string]claim{}, queues: map[string]policy.Queue{}, early: map[string]earlyCancel{},
+		claims: map[string]claim{}, queues: map[string]policy.Queue{}, early: map[string]earlyCancel{}, unread: map[string][]byte{},
 		lateStarts: map[string][]lateStart{}, learnt: map[string]*runTime{}, advised: map[string]*advice{},
 		kicked: make(chan struct{}, 1),
 	}
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -53,9 +53,10 @@
 
 // add enters a new job.
 func (e *Engine) add(j work.Job) *job {
-	s := &job{Job: j, accepted: e.Boot()}
+	s := &job{Job: j, accepted: e.Boot(), lengths: map[stepOf]tally{}}
 	e.jobs[j.ID] = s
 	e.active = append(e.active, s)
+	e.readLate(s)
 	if l, ok := e.early[j.ID]; ok && l.workspace == j.Workspace {
 		delete(e.early, j.ID)
 		s.cancel = true
--- a/internal/run/engine/learn.go
+++ b/internal/run/engine/learn.go
@@ -21,10 +21,10 @@
 // learn takes in how long a unit took.
 func (e *Engine) learn(u *unit) {
 	for _, m := range u.members {
-		if m.began == 0 || m.from != "" {
+		took := m.took(e.Boot()).Seconds()
+		if took == 0 {
 			continue
 		}
-		took := (e.Boot() - m.began).Seconds()
 		e.Observe("run_seconds", e.Boot()-m.began)
 		l := e.learnt[u.job.Queue]
 		if l == nil {
@@ -38,6 +38,17 @@
 	}
 }
 
+// took returns how long a run that is done would have taken on a usual worker; 0 if
+// that is not known.
+func (m *member) took(boot time.Duration) time.Duration {
+	took := m.track.Length()
+	if took == 0 && m.began != 0 && m.from == "" && !m.byOther && !m.unit.job.Steps[m.unit.step].Gang {
+		took = boot - m.began
+	}
+
+	return time.Duration(float64(took) / m.worker.slow)
+}
+
 // runOf returns the expected run time of a step's task.
 func (e *Engine) runOf(s *job, step int) time.Duration {
 	if l := e.learnt[s.Queue]; l != nil && l.runs >= learnFrom {
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -40,6 +40,7 @@
 	}
 	began := e.Now()
 	e.settle()
+	e.review()
 	e.dueOccurrences()
 	cands := e.candidates()
 	if len(cands) == 0 {
@@ -127,16 +128,23 @@
 	waited := e.Boot() - s.accepted
 	stand := e.standing(s, occur, urgent)
 	c := candidate{job: s, occur: occur, step: step, allow: allow, order: assign.Rank(stand, s.since(occur, e.Now(), e.Boot()))}
-	c.unit = assign.Unit{
-		Name: unitName(s, occur, step, 0), Service: q.Service, Tasks: tasks, Need: room(st), Gang: st.Gang, Together: st.OneRack && st.Gang,
-		Label: st.Label, Near: st.Rack, Stay: st.Rack != "", Spread: st.Spread, Priority: q.Priority,
-	}
+	c.unit = e.unitOf(s, occur, step, tasks)
 	c.unit.Overdue = waited >= overdueAfter
 	c.unit.Evicts = urgent && waited >= e.Timing.Evict
 
 	return append(cands, c)
 }
 
+// unitOf returns tasks of a step as a decision sees them.
+func (e *Engine) unitOf(s *job, occur, step int, tasks []int) assign.Unit {
+	st, q := &s.Steps[step], e.rules(s.Queue)
+
+	return assign.Unit{
+		Name: unitName(s, occur, step, 0), Service: q.Service, Tasks: tasks, Need: room(st), Gang: st.Gang, Together: st.OneRack && st.Gang,
+		Label: st.Label, Near: st.Rack, Stay: st.Rack != "", Spread: st.Spread, Priority: q.Priority, Haste: haste(q.Priority),
+	}
+}
+
 // urgentJobs returns the jobs of priority 0 that their workspace's guarantee covers.
 func (e *Engine) urgentJobs() map[*job]bool {
 	urgent := map[*job]bool{}
@@ -183,8 +191,8 @@
 		w := e.workers[name]
 		a := assign.Worker{
 			Service: w.Service, Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.free,
-			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && w.Host != "",
-			Penalty: w.record.penalty(now),
+			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && w.Host != "",
+			Penalty: w.record.penalty(now), Slow: w.slowness(now),
 		}
 		if c, ok := e.claims[name]; ok {
 			a.Claim = c.unit
@@ -416,3 +424,15 @@
 
 	return u
 }
+
+// hastes is how much a fast worker is worth to work of a priority, against the
+// share of a worker that packing it tightly leaves free.
+var hastes = []float64{1.5, 0.5}
+
+func haste(priority int) float64 {
+	if priority < len(hastes) {
+		return hastes[priority]
+	}
+
+	return 0
+}
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/store"
@@ -15,6 +16,8 @@
 const (
 	recoverPause = 100 * time.Millisecond
 	recoverCall  = 2 * time.Second
+	recoverLeast = 120 * time.Millisecond // of a wait for workers that do not report
+	recoverFew   = 0.15                   // share of the workers that is not waited for any longer
 	handinWait   = time.Second            // longest wait of a reading of HandinTopic
 	handinSlack  = 400 * time.Millisecond // a silent connection is given up so long after
 	freshFor     = 2 * time.Second        // an older reading of HandinTopic proves nothing missing
@@ -42,25 +45,32 @@
 func (e *Engine) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recoverCall)
 	defer cancel()
-	_, err := e.Store.Append(ctx, store.Append{Topic: JobsTopic, At: -1, Producer: producer, Epoch: e.Lease.Token})
-	if err != nil {
-		return errors.Wrap(err, "fence the planner before")
-	}
-	jobs, _, err := e.Store.All(ctx, JobsTopic)
-	if err != nil {
-		return err
-	}
-	handins, tail, err := e.Store.All(ctx, HandinTopic)
-	if err != nil {
+	var (
+		jobs, handins []store.Record
+		tail          int64
+	)
+	all, ctx := errgroup.WithContext(ctx)
+	all.Go(func() (err error) {
+		_, err = e.Store.Append(ctx, store.Append{Topic: JobsTopic, At: -1, Producer: producer, Epoch: e.Lease.Token})
+		if err != nil {
+			return errors.Wrap(err, "fence the planner before")
+		}
+		// The planner before writes nothing more: what it has taken in is in the
+		// hand-ins that are read from now on.
+		if handins, tail, err = e.Store.All(ctx, HandinTopic); err != nil {
+			return err
+		}
+		jobs, _, err = e.Store.All(ctx, JobsTopic)
+
 		return err
-	}
-	l, err := e.Discover(ctx)
-	if err != nil {
+	})
+	all.Go(func() error { return e.findWorkers(ctx) })
+	if err := all.Wait(); err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.list(l)
+	e.list(*e.found)
 	e.tail, e.tailed = tail, e.Boot()
 	e.enter(jobs, handins)
 	e.adopt()
@@ -68,6 +78,20 @@
 	return nil
 }
 
+// findWorkers reads the list of workers once: the next reading tells changes only.
+func (e *Engine) findWorkers(ctx context.Context) error {
+	if e.found != nil {
+		return nil
+	}
+	l, err := e.Discover(ctx)
+	if err != nil {
+		return err
+	}
+	e.found = &l
+
+	return nil
+}
+
 // enter rebuilds the jobs from their records.
 func (e *Engine) enter(jobs, handins []store.Record) {
 	e.jobs, e.active, e.units = map[string]*job{}, nil, map[string]*unit{}
@@ -91,16 +115,11 @@
 		s := e.jobs[id]
 		if s == nil {
 			e.Log.Warn().Str("event", "progress-without-job").Str("id", id).Msg("")
+			e.unread[id] = b
 
 			continue
 		}
-		p, err := work.DecodeProgress(b, &s.Job)
-		if err != nil {
-			e.Log.Error().Str("event", "record-unreadable").Str("id", id).Err(err).Msg("")
-
-			continue
-		}
-		s.Progress, s.shown = p, p.Phase
+		e.enterProgress(s, b)
 	}
 	for _, s := range e.jobs {
 		if !s.shown.Final() {
@@ -115,6 +134,17 @@
 	}
 }
 
+// enterProgress takes in what a planner before has kept of a job.
+func (e *Engine) enterProgress(s *job, b []byte) {
+	p, err := work.DecodeProgress(b, &s.Job)
+	if err != nil {
+		e.Log.Error().Str("event", "record-unreadable").Str("id", s.ID).Err(err).Msg("")
+
+		return
+	}
+	s.Progress, s.shown = p, p.Phase
+}
+
 // enterOpen takes in a job's record; one key always has the same content.
 func (e *Engine) enterOpen(r store.Record, handedIn bool) {
 	_, id := work.ParseKey(r.Key)
@@ -128,7 +158,7 @@
 		return
 	}
 	age := e.Now().Sub(time.UnixMilli(j.Sent))
-	s := &job{Job: j, durable: true, handedIn: handedIn, accepted: e.Boot() - max(0, age)}
+	s := &job{Job: j, durable: true, handedIn: handedIn, accepted: e.Boot() - max(0, age), lengths: map[stepOf]tally{}}
 	e.jobs[id] = s
 	if l, ok := e.early[id]; ok && l.workspace == j.Workspace {
 		delete(e.early, id)
@@ -149,13 +179,7 @@
 // adopt enters the runs that the planner before had assigned.
 func (e *Engine) adopt() {
 	for _, s := range e.jobs { // ended jobs too: their stops may not have arrived
-		for k := range s.Occurs {
-			for step := range s.Occurs[k].Steps {
-				for i := range s.Occurs[k].Steps[step] {
-					e.adoptTask(s, k, step, i)
-				}
-			}
-		}
+		e.adoptJob(s)
 	}
 	for _, u := range e.units {
 		if u.job.Phase.Final() {
@@ -164,6 +188,27 @@
 	}
 }
 
+func (e *Engine) adoptJob(s *job) {
+	for k := range s.Occurs {
+		for step := range s.Occurs[k].Steps {
+			for i := range s.Occurs[k].Steps[step] {
+				e.adoptTask(s, k, step, i)
+			}
+		}
+	}
+}
+
+// readLate takes in what is kept of a job whose own record is read only now.
+func (e *Engine) readLate(s *job) {
+	b, ok := e.unread[s.ID]
+	if !ok {
+		return
+	}
+	delete(e.unread, s.ID)
+	e.enterProgress(s, b)
+	e.adoptJob(s)
+}
+
 func (e *Engine) adoptTask(s *job, occur, step, index int) {
 	t := &s.Occurs[occur].Steps[step][index]
 	if t.Phase != work.Assigned {
@@ -197,19 +242,29 @@
 	return time.Duration(float64(e.Timing.LongHold)/slowClock) + clockSlip
 }
 
-// awaitReports waits until every worker has reported once, but not for silent ones.
-func (e *Engine) awaitReports(ctx context.Context) {
-	until := e.Boot() + e.Timing.Recover
-	for ctx.Err() == nil && e.Boot() < until {
-		e.mu.Lock()
-		missing := 0
-		for _, w := range e.workers {
-			if !w.reached && w.listed {
-				missing++
-			}
+// missing counts the workers that have not reported under this lease, and all.
+func (e *Engine) missing() (missing, listed float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range e.workers {
+		if w.listed {
+			listed++
 		}
-		e.mu.Unlock()
-		if missing == 0 {
+		if w.listed && !w.reached {
+			missing++
+		}
+	}
+
+	return missing, listed
+}
+
+// awaitReports waits until every worker has reported once, but not for silent
+// ones: what they may run is durable, so that the rest can be planned.
+func (e *Engine) awaitReports(ctx context.Context) {
+	began := e.Boot()
+	for ctx.Err() == nil && e.Boot() < began+e.Timing.Recover {
+		missing, listed := e.missing()
+		if missing == 0 || (missing <= recoverFew*listed && e.Boot() >= began+recoverLeast) {
 			return
 		}
 		timer.Pause(ctx, settleHold)
@@ -272,6 +327,7 @@
 			if s := e.jobs[id]; s != nil {
 				e.Log.Info().Str("event", "job-read").Str("id", id).Int64("offset", r.Offset).Msg("")
 				e.active = append(e.active, s)
+				e.readLate(s)
 				e.kick()
 			}
 		}
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -111,7 +111,9 @@
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: v.name, Address: name, Life: 1800 * time.Millisecond, Brief: 800 * time.Millisecond, Renew: 500 * time.Millisecond, Keep: 6 * time.Second,
 		Call: 700 * time.Millisecond, Beat: 500 * time.Millisecond, Boot: r.boot, Log: r.log,
-		Ask: r.ask,
+		Ask:   r.ask,
+		Heir:  func() (string, bool) { return r.heir(name) },
+		Offer: r.offer,
 		Plan: func(ctx context.Context, l *lead.Lease) {
 			g := engine.New(r.config(st, workers, l))
 			v.engine.Store(g)
@@ -135,6 +137,7 @@
 			Lease: 6 * time.Second, LongHold: 10 * time.Second, Overrun: 4200 * time.Millisecond, Wait: 1800 * time.Millisecond,
 			Call: 700 * time.Millisecond, Discover: 400 * time.Millisecond, Keep: 150 * time.Second, Recover: 800 * time.Millisecond,
 			Evict: 900 * time.Millisecond, Claim: 1500 * time.Millisecond, Backoff: time.Second, Straggle: 15 * time.Second,
+			Restore: 100 * time.Millisecond,
 		},
 		Policy: func() *policy.Policy { return r.policy }, Boot: r.boot, Now: time.Now, Log: r.log,
 		Count: func(string, int64) {}, Observe: func(string, time.Duration) {},
@@ -147,6 +150,28 @@
 	return c
 }
 
+// heir names another VM that runs.
+func (r *rig) heir(name string) (string, bool) {
+	all := r.others(name)
+	if len(all) == 0 {
+		return "", false
+	}
+
+	return all[0], true
+}
+
+// offer stands for the offer of a lease to another VM.
+func (r *rig) offer(ctx context.Context, name string, token, end int64) (bool, error) {
+	v := r.get(name)
+	if v == nil || v.frozen.Load() != nil || v.cutOff.Load() {
+		<-ctx.Done()
+
+		return false, errors.New("no answer")
+	}
+
+	return v.elector.Offered(ctx, token, end), nil
+}
+
 // others names the other VMs that run.
 func (r *rig) others(name string) []string {
 	var all []string
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -55,6 +55,9 @@
 	case "restart":
 		r.kill(name)
 		r.start(name)
+	case "leave":
+		r.get(name).elector.Leave(context.Background())
+		r.kill(name)
 	case "freeze":
 		r.freeze(name)
 	case "thaw":
@@ -192,7 +195,13 @@
 	case "unlist":
 		r.fleet.Unlist(id)
 	case "drain":
-		r.fleet.Drain(id)
+		r.fleet.Drain(id, 2*time.Second)
+	case "still":
+		r.fleet.SetSpeed(id, 0)
+	case "usual":
+		r.fleet.SetSpeed(id, 1)
+	case "slow":
+		r.fleet.SetSpeed(id, 0.15)
 	case "cut":
 		r.fleet.Cut(id, true)
 	case "heal":
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -181,6 +181,7 @@
 	for _, run := range r.Running {
 		e.sawRunning(w, run, listed)
 	}
+	e.judgeWorker(w)
 	for _, m := range w.all() {
 		if !listed[m] && m.phase != planned && m.phase != starting && m.settled != 0 && sent > m.settled {
 			e.ended(m, target.Lapsed, "")
@@ -314,13 +315,15 @@
 		return
 	}
 	listed[m] = true
-	m.percent = r.Percent
 	if r.Saved != "" && r.Saved != m.saved {
 		m.saved, m.saves = r.Saved, e.Boot()
 	}
 	if m.phase == unsure && !m.halting {
 		m.phase, m.settled, m.began = running, e.Boot(), e.Boot()
 	}
+	if m.phase == running {
+		e.progressed(m, r.Percent)
+	}
 }
 
 // orphan stops a run that nobody accounts for. Until its end is listed it holds
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sesameyoke/internal/core/watch"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
 )
@@ -47,12 +48,13 @@
 		settled time.Duration // a start or stop was answered at; reports asked for later must list the run
 		halting bool          // a stop is being sent
 		byOther bool          // the planner before has given the order, and is fenced
-		percent int
 		saved   string
 		from    string        // checkpoint that it resumed from
 		ticket  string        // of the placement service
 		began   time.Duration // its start was answered at, or it was first seen running
 		saves   time.Duration // its newest checkpoint was seen at
+		track   watch.Track
+		tracked bool // track has begun
 	}
 )
 
@@ -192,6 +194,7 @@
 		}
 	}
 	e.learn(u)
+	e.learnSpeeds(u)
 	e.advance(u.job, u.occur)
 	e.writer.put(u.job, nil)
 	e.kick()
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -32,7 +32,13 @@
 	ackSent  int64         // highest end that the worker knows to be durable
 	silent   time.Duration // no report since; 0 while it reports
 	refusing time.Duration // gets no starts until then
-	record   record
+	leaves   time.Duration // a draining worker stays until then at least
+
+	slow       float64       // learnt: how much longer than usual its runs take
+	slowNow    float64       // a passing slowness besides, until slowUntil
+	slowUntil  time.Duration // its runs were slow of late
+	stillUntil time.Duration // its runs stood still of late
+	record     record
 }
 
 // record is what a worker's runs have shown.
@@ -43,7 +49,7 @@
 }
 
 func newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, free: w.Room, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, free: w.Room, slow: 1, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 func (w *worker) address() target.Address { return target.Address{ID: w.ID, Host: w.Host} }
@@ -135,4 +141,5 @@
 	w.seen, w.acked, w.ackSent = 0, 0, 0
 	w.deadline = 0
 	w.record = record{}
+	w.slowUntil, w.stillUntil = 0, 0
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -38,7 +38,9 @@
 	// Config of an Entry.
 	Config struct {
 		Name     string
-		Address  string       // for calls between VMs
+		Address  string // for calls between VMs
+		Cores    float64
+		Born     int64        // start of the process, Unix milliseconds
 		Store    *store.Store // by the way that works
 		Direct   *store.Store // as this VM itself reaches it
 		Follower *Follower
@@ -59,7 +61,7 @@
 		leaving atomic.Bool
 
 		mu    sync.Mutex
-		peers map[string]time.Duration // when they were last heard of
+		peers map[string]peer // by address
 	}
 
 	pendingCount struct {
@@ -76,7 +78,7 @@
 
 // New returns an entry.
 func New(c Config) *Entry {
-	return &Entry{Config: c, peers: map[string]time.Duration{}}
+	return &Entry{Config: c, peers: map[string]peer{}}
 }
 
 // Planning sets the engine while this VM plans; nil ends it.
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -14,11 +14,24 @@
 	"sesameyoke/internal/run/lead"
 )
 
-const peerLife = 10 * time.Second // a VM that has not been heard of for so long is forgotten
+const (
+	peerLife  = 10 * time.Second        // a VM that has not been heard of for so long is forgotten
+	heirHeard = 1200 * time.Millisecond // a VM that has not asked for so long is not offered the lease
+	heirCores = 0.75                    // of the strongest VM's cores that a planner should have
+)
+
+// peer is another VM.
+type peer struct {
+	planner.VM
+	heard time.Duration // its address was heard of at
+	asked time.Duration // it asked this VM at
+}
 
 // Ask asks the planner for its standing and takes over what it tells.
 func (e *Entry) Ask(ctx context.Context, h lead.Holder) (lead.Sign, error) {
-	st, err := e.Peers.Beat(ctx, h.Address, e.Name, e.Address)
+	st, err := e.Peers.Beat(ctx, h.Address, planner.VM{
+		Name: e.Name, Address: e.Address, Cores: e.Cores, Born: e.Born, Leaving: e.Leaving(),
+	})
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return lead.Sign{}, errors.Wrap(lead.ErrNoProcess, err.Error())
@@ -36,7 +49,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range st.Peers {
-		e.peers[p] = now
+		v := e.peers[p]
+		v.heard = now
+		e.peers[p] = v
 	}
 
 	return lead.Sign{Age: st.Age, Renewal: st.Renewal}, nil
@@ -46,19 +61,20 @@
 func (e *Entry) Server() *planner.Server {
 	return &planner.Server{
 		Beat: e.beat, Submit: e.submitFor, Cancel: e.cancelFor, State: e.stateFor, Policy: e.Follower.Tell, Store: e.Direct,
+		Succeed: e.Elector.Offered,
 	}
 }
 
-func (e *Entry) beat(_, address string) planner.Standing {
+func (e *Entry) beat(from planner.VM) planner.Standing {
 	g, l := e.engine.Load(), e.Elector.Lease()
 	now := e.Boot()
 	var peers []string
 	e.mu.Lock()
-	if address != "" {
-		e.peers[address] = now
+	if from.Address != "" {
+		e.peers[from.Address] = peer{VM: from, heard: now, asked: now}
 	}
-	for p, at := range e.peers {
-		if now-at > peerLife {
+	for p, v := range e.peers {
+		if now-v.heard > peerLife {
 			delete(e.peers, p)
 		} else {
 			peers = append(peers, p)
@@ -118,6 +134,33 @@
 	return context.WithTimeout(ctx, max(wait-answerSlack, wait/2))
 }
 
+// Heir returns the VM that may best plan next: a strong one that asks for this
+// VM's standing, and that has begun last, since restarts in turn come to it last.
+func (e *Entry) Heir() (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Boot()
+	strong := 0.0
+	for _, v := range e.peers {
+		if v.fit(now) {
+			strong = max(strong, v.Cores)
+		}
+	}
+	best, born := "", int64(0)
+	for a, v := range e.peers {
+		if v.fit(now) && a != e.Address && v.Cores >= heirCores*strong && v.Born > born {
+			best, born = a, v.Born
+		}
+	}
+
+	return best, best != ""
+}
+
+// fit reports whether a VM may plan next.
+func (p peer) fit(now time.Duration) bool {
+	return !p.Leaving && now-p.asked < heirHeard && p.asked != 0
+}
+
 // Others returns the addresses of the other VMs that are known, in any order.
 func (e *Entry) Others() []string {
 	e.mu.Lock()
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -61,6 +61,10 @@
 
 		// Ask asks the holder's VM for a sign of the planner.
 		Ask func(ctx context.Context, h Holder) (Sign, error)
+		// Heir returns the VM that may best plan next.
+		Heir func() (address string, ok bool)
+		// Offer offers the lease to a VM and reports whether it has taken it.
+		Offer func(ctx context.Context, address string, token, end int64) (bool, error)
 		// Plan runs the planner until its context ends or the lease is lost.
 		Plan func(ctx context.Context, l *Lease)
 	}
@@ -80,9 +84,16 @@
 		life    time.Duration // after which the holder's unchanged lease may be taken
 		lease   *Lease
 		leaving bool
+		offer   *offer
 		wake    chan struct{}
 	}
 
+	// offer is the lease of a planner that leaves.
+	offer struct {
+		token, end int64
+		taken      chan bool
+	}
+
 	// Lease is held by this VM.
 	Lease struct {
 		Token int64
@@ -150,15 +161,77 @@
 		return
 	}
 	l.Lose()
+	if e.handOver(ctx, h, end) {
+		return
+	}
 	h.Released = true
 	if _, err := e.append(ctx, h, end); err != nil {
 		e.Log.Warn().Str("event", "lease-release-failed").Err(err).Int64("token", h.Token).Msg("")
 	}
 }
 
+// handOver reports whether another VM has taken the lease over.
+func (e *Elector) handOver(ctx context.Context, h Holder, end int64) bool {
+	to, ok := e.Heir()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.Call)
+	defer cancel()
+	taken, err := e.Offer(ctx, to, h.Token, end)
+	e.Log.Info().Str("event", "lease-offered").Str("peer", to).Bool("taken", taken).Err(err).Int64("token", h.Token).Msg("")
+
+	return taken
+}
+
+// Offered takes the lease of a planner that leaves, and reports whether it did.
+func (e *Elector) Offered(ctx context.Context, token, end int64) bool {
+	o := &offer{token: token, end: end, taken: make(chan bool, 1)}
+	e.mu.Lock()
+	refused := e.leaving || e.lease != nil || e.holder.Token > token
+	if !refused {
+		e.offer = o
+	}
+	e.mu.Unlock()
+	if refused {
+		return false
+	}
+	e.Hear()
+	select {
+	case taken := <-o.taken:
+		return taken
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// accept takes a lease that was offered.
+func (e *Elector) accept(ctx context.Context) *Lease {
+	e.mu.Lock()
+	o := e.offer
+	e.offer = nil
+	if o == nil || o.token < e.holder.Token {
+		e.mu.Unlock()
+
+		return nil
+	}
+	e.holder.Token, e.holder.Released = o.token, true
+	e.known, e.end = true, o.end
+	e.mu.Unlock()
+	l := e.tryTake(ctx)
+	o.taken <- l != nil
+
+	return l
+}
+
 // Run follows the lease until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if l := e.accept(ctx); l != nil {
+			e.hold(ctx, l)
+
+			continue
+		}
 		if e.followed(ctx) {
 			e.sleep(ctx, e.Beat)
 
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -51,6 +51,7 @@
 		cutFrom         map[string]bool // callers that do not reach it
 		bornAt          time.Time
 		rate            float64 // of its clock
+		speed           float64 // of what runs there; 0 stands still
 		token           int64
 		deadline        int64
 		runs            map[work.Task]*activeRun
@@ -63,7 +64,9 @@
 	activeRun struct {
 		task    work.Task
 		run     int64
-		started time.Time
+		started time.Time     // or, once its gang is there, when that came
+		at      time.Time     // up to which worked is known
+		worked  time.Duration // at the usual speed
 		working bool
 		length  time.Duration
 		how     target.How
@@ -92,7 +95,7 @@
 	defer f.mu.Unlock()
 	w := &Worker{
 		Worker: target.Worker{ID: id, Host: id, Service: service, Rack: rack, Labels: []string{"a", rack}, Room: room},
-		up:     true, listed: true, cutFrom: map[string]bool{}, rate: 0.98 + 0.02*f.Roll(),
+		up:     true, listed: true, cutFrom: map[string]bool{}, speed: 1, rate: 0.98 + 0.02*f.Roll(),
 	}
 	w.begin()
 	f.workers[id] = w
@@ -140,14 +143,22 @@
 	f.changes = append(f.changes, id)
 }
 
-// Drain lists a worker as leaving.
-func (f *Fleet) Drain(id string) {
+// Drain lists a worker as leaving, after the given time at the earliest.
+func (f *Fleet) Drain(id string, left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].Draining = true
+	f.workers[id].Draining, f.workers[id].Left = true, left
 	f.changes = append(f.changes, id)
 }
 
+// SetSpeed sets how fast a worker's tasks work: 1 is usual, and with 0 they stand still.
+func (f *Fleet) SetSpeed(id string, speed float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	f.workers[id].speed = speed
+}
+
 // Cut separates a worker from all callers, or joins it again.
 func (f *Fleet) Cut(id string, cut bool) {
 	f.mu.Lock()
@@ -387,7 +398,7 @@
 func (w *Worker) report() target.Report {
 	r := target.Report{Clock: w.clock(), Born: w.Born, Ended: slices.Clone(w.ends[:min(len(w.ends), endPage)])}
 	for _, a := range w.runs {
-		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.saved()})
+		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.saved(), Percent: a.percent()})
 	}
 
 	return r
@@ -399,7 +410,16 @@
 		return ""
 	}
 
-	return fmt.Sprintf("%s.%d.%d", r.task.Job, r.run, int(time.Since(r.started).Seconds()))
+	return fmt.Sprintf("%s.%d.%d", r.task.Job, r.run, int(r.worked.Seconds()))
+}
+
+// percent is the share of its length that a run has worked.
+func (r *activeRun) percent() int {
+	if !r.working {
+		return 0
+	}
+
+	return min(100, int(100*r.worked/r.length))
 }
 
 // advance brings all workers to the present. It is called under the lock.
@@ -430,6 +450,10 @@
 
 func (f *Fleet) progress(w *Worker, r *activeRun) {
 	gang, here := f.gang(r)
+	if r.working {
+		r.worked += time.Duration(w.speed * float64(time.Since(r.at)))
+		r.at = time.Now()
+	}
 	switch {
 	case w.clock() > w.deadline:
 		w.end(r, target.Lapsed)
@@ -442,8 +466,8 @@
 		f.Journal.alone++
 	case gang > 0 && here < gang:
 	case !r.working:
-		r.working, r.started = true, time.Now()
-	case time.Since(r.started) >= r.length:
+		r.working, r.at = true, time.Now()
+	case r.worked >= r.length:
 		f.finish(r, gang)
 	}
 }
