Count a start whose answer is lost if its worker lists the run; look at a silent planner's lease sooner

The worker's list now tells, after 0.15 s and again when 0.45 s have passed; only what is not listed is stopped. Cause (2): a planner gone for good was replaced after 2.0 to 2.4 s: each question to it waited 0.7 s before the lease was looked at. A question waits 0.4 s, the lease is looked at meanwhile, and taken after 1.2 s. Cause (3): a worker that had failed once was still preferred where it was packed well.

Found on the way: TestStaleHandins failed in 3 of 30 runs: a run whose job was still to be read was stopped as an orphan. Such runs go on for 5 s now, and are adopted with their job; 60 runs after: none.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -40,7 +40,7 @@
 	leaveReserve  = time.Second // of the grace period that is kept for the end
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	leaseLife     = 1400 * time.Millisecond // an unchanged lease may be taken after
+	leaseLife     = 1200 * time.Millisecond // an unchanged lease may be taken after
 	leaseBrief    = 800 * time.Millisecond  // the same while nothing listens at the planner's address
 	leaseRenew    = 400 * time.Millisecond
 	leaseKeep     = 6 * time.Second // a planner that cannot reach the store acts for so long
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -16,6 +16,7 @@
 	workerLease   = 6 * time.Second
 	workerWait    = 1800 * time.Millisecond // longest wait of a worker's report
 	workerCall    = 700 * time.Millisecond
+	startCall     = 450 * time.Millisecond
 	discoverEvery = 400 * time.Millisecond
 	recoverWait   = 800 * time.Millisecond
 	evictAfter    = 400 * time.Millisecond
@@ -31,7 +32,7 @@
 		Store: st, Workers: platform.NewWorkers(v.log), Lease: l,
 		Timing: engine.Timing{
 			Lease: min(workerLease, v.boot.LongHold), LongHold: v.boot.LongHold, Overrun: leaseKeep - leaseLife, Wait: workerWait,
-			Call: workerCall, Discover: discoverEvery, Keep: v.boot.Status + v.boot.Status/4, Recover: recoverWait,
+			Call: workerCall, Start: startCall, Discover: discoverEvery, Keep: v.boot.Status + v.boot.Status/4, Recover: recoverWait,
 			Evict: evictAfter, Claim: claimLife, Backoff: refusedPause, Straggle: straggle,
 			Restore: v.boot.Restore,
 		},
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -44,6 +44,7 @@
 		Overrun  time.Duration // a replaced planner may act for so long after its successor began
 		Wait     time.Duration // longest wait of a worker's report
 		Call     time.Duration // bound of one order
+		Start    time.Duration // bound of a start
 		Discover time.Duration // between readings of the list of workers
 		Keep     time.Duration // ended jobs are known for so long
 		Recover  time.Duration // a successor waits so long for the workers' first reports
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -172,6 +172,7 @@
 
 // settle drops ended jobs from the active list, and old ones altogether.
 func (e *Engine) settle() {
+	e.dropUnread()
 	kept := e.active[:0]
 	for _, s := range e.active {
 		if !s.shown.Final() {
--- a/internal/run/engine/orders.go
+++ b/internal/run/engine/orders.go
@@ -10,7 +10,16 @@
 	"sesameyoke/internal/run/timer"
 )
 
-const stopPause = 250 * time.Millisecond // between tries of a stop that got no answer
+const (
+	stopPause  = 250 * time.Millisecond // between tries of a stop that got no answer
+	doubtParts = 3                      // after this part of its time a start without an answer is looked for
+)
+
+// startAnswer is a worker's answer to a start.
+type startAnswer struct {
+	clock int64
+	err   error
+}
 
 // sendStart gives the order for a planned member. Its assignment is durable.
 func (e *Engine) sendStart(m *member) {
@@ -37,10 +46,8 @@
 
 			return
 		}
-		ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Call)
-		defer cancel()
 		sent := e.Boot()
-		clock, err := e.Workers.Start(ctx, to, order)
+		clock, err := e.start(to, order)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.Observe("start_seconds", e.Boot()-sent)
@@ -48,6 +55,53 @@
 	})
 }
 
+// start gives an order. One whose answer is late or lost counts as carried out if
+// the worker lists the run.
+func (e *Engine) start(to target.Address, order target.Start) (int64, error) {
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Start)
+	defer cancel()
+	answers := make(chan startAnswer, 1)
+	e.session.Go(func() {
+		clock, err := e.Workers.Start(ctx, to, order)
+		answers <- startAnswer{clock, err}
+	})
+	doubt := time.NewTimer(e.Timing.Start / doubtParts)
+	defer doubt.Stop()
+	var a startAnswer
+	select {
+	case a = <-answers:
+	case <-doubt.C:
+		if clock, ok := e.lists(to, order); ok {
+			return clock, nil
+		}
+		a = <-answers
+	}
+	if errors.Is(a.err, target.ErrUnknown) {
+		if clock, ok := e.lists(to, order); ok {
+			return clock, nil
+		}
+	}
+
+	return a.clock, a.err
+}
+
+// lists asks a worker whether a run is there, and for its clock.
+func (e *Engine) lists(to target.Address, order target.Start) (int64, bool) {
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Start)
+	defer cancel()
+	r, err := e.Workers.Hold(ctx, to, target.Hold{Token: order.Token})
+	if err != nil {
+		return 0, false // the next report or the stop will tell
+	}
+	for _, run := range r.Running {
+		if run.Task == order.Task && run.Run == order.Run {
+			return r.Clock, true
+		}
+	}
+
+	return 0, false
+}
+
 // started takes in the answer to a start.
 func (e *Engine) started(m *member, clock int64, err error) {
 	u, w := m.unit, m.worker
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -239,7 +239,9 @@
 }
 
 const (
-	distrustFails = 3                // failures in a row after which a worker is the last choice
+	distrustFails = 2                // failures in a row after which a worker is the last choice
+	distrusted    = 100.0            // cost of such a worker, in shares of a worker left free
+	failCost      = 2.0              // of each failure before
 	distrust      = 30 * time.Second // for so long
 )
 
@@ -249,10 +251,10 @@
 		return 0
 	}
 	if r.Failed >= distrustFails {
-		return 100
+		return distrusted
 	}
 
-	return 0.5 * float64(r.Failed)
+	return failCost * float64(r.Failed)
 }
 
 // localize fills in what a unit's place depends on.
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -209,6 +209,21 @@
 	e.adoptJob(s)
 }
 
+// dropUnread stops the runs of jobs that have not been read after all.
+func (e *Engine) dropUnread() {
+	if len(e.unread) == 0 || e.Boot() < e.began+unreadFor {
+		return
+	}
+	for _, w := range e.workers {
+		for _, m := range w.all() {
+			if _, ok := e.unread[m.unit.job.ID]; ok && m.unit.orphan {
+				e.abort(m.unit, "job not found")
+			}
+		}
+	}
+	clear(e.unread)
+}
+
 func (e *Engine) adoptTask(s *job, occur, step, index int) {
 	t := &s.Occurs[occur].Steps[step][index]
 	if t.Phase != work.Assigned {
@@ -228,6 +243,9 @@
 		e.attend(w)
 	}
 	m := &member{unit: u, index: index, worker: w, phase: unsure, from: t.Saved, saved: t.Saved, settled: 1, byOther: true}
+	if o := w.find(m.task(), u.run); o != nil && o.unit.orphan {
+		e.release(o) // it was seen before its job was read
+	}
 	e.occupy(m)
 }
 
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -135,7 +135,7 @@
 		Store: st, Workers: workers, Lease: l,
 		Timing: engine.Timing{
 			Lease: 6 * time.Second, LongHold: 10 * time.Second, Overrun: 4200 * time.Millisecond, Wait: 1800 * time.Millisecond,
-			Call: 700 * time.Millisecond, Discover: 400 * time.Millisecond, Keep: 150 * time.Second, Recover: 800 * time.Millisecond,
+			Call: 700 * time.Millisecond, Start: 450 * time.Millisecond, Discover: 400 * time.Millisecond, Keep: 150 * time.Second, Recover: 800 * time.Millisecond,
 			Evict: 900 * time.Millisecond, Claim: 1500 * time.Millisecond, Backoff: time.Second, Straggle: 15 * time.Second,
 			Restore: 100 * time.Millisecond,
 		},
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -15,6 +15,7 @@
 	holdSlack  = 400 * time.Millisecond // a report is given up so long after its wait
 	holdPause  = 120 * time.Millisecond // between tries at a silent worker
 	holdBusy   = 700 * time.Millisecond // between reports while ends wait to be durable
+	unreadFor  = 5 * time.Second        // after taking over, the runs of a job that is still to be read go on
 	settleHold = 20 * time.Millisecond  // wait of a report that settles an order
 )
 
@@ -330,7 +331,11 @@
 // the capacity that its job tells, or all of the worker's.
 func (e *Engine) orphan(w *worker, r target.Run) {
 	e.Log.Warn().Str("event", "orphan-run").Str("id", r.Task.Job).Int64("run", r.Run).Str("worker", w.ID).Msg("")
-	e.abort(e.orphanMember(w, r).unit, "orphan")
+	m := e.orphanMember(w, r)
+	if _, ok := e.unread[r.Task.Job]; ok && e.Boot() < e.began+unreadFor {
+		return // adopted with its job
+	}
+	e.abort(m.unit, "orphan")
 }
 
 func (e *Engine) orphanMember(w *worker, r target.Run) *member {
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -82,6 +82,7 @@
 		sign    Sign          // the holder's newest one
 		signed  time.Duration // the renewal that it names was made at
 		life    time.Duration // after which the holder's unchanged lease may be taken
+		missed  time.Duration // the holder's VM gave no answer at; 0 if it answered last
 		lease   *Lease
 		leaving bool
 		offer   *offer
@@ -253,7 +254,7 @@
 
 			continue
 		}
-		e.sleep(ctx, e.Renew/2)
+		e.sleep(ctx, e.Renew/3)
 	}
 }
 
@@ -263,14 +264,18 @@
 	if !ok || h.Name == e.Name {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.Call)
+	if e.missed != 0 && e.Boot()-e.missed < e.Beat {
+		return false // its lease is looked at meanwhile
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.Beat)
 	defer cancel()
 	sign, err := e.Ask(ctx, h)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.life = e.Life
+	e.life, e.missed = e.Life, e.Boot()
 	switch {
 	case err == nil:
+		e.missed = 0
 		e.sign, e.signed = sign, e.Boot()-sign.Age
 	case errors.Is(err, ErrReplaced):
 		e.life = 0
