Carry out waves of maintenance on the workers' hosts

The decision (core/upkeep) lets idle hosts go down first, closes those of the next round for new work, and clears what still runs when the wave's time would not suffice: lasting tasks one by one, as far as their step may miss them. What is done is kept in the planner's records, so that a successor goes on; it waits until its predecessor has stopped ordering. A call without an answer is repeated, which does nothing if it was executed, and its host counts as away meanwhile.

Ways weighed: telling from the workers' births which hosts have been down (a crash looks the same), or the planner's own record (chosen).

Script wave: four hosts, one at a time, lasting tasks of which one may be away, the planner dies in the middle: all done, no task ended out of turn.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -111,7 +111,8 @@
 	address := net.JoinHostPort(boot.IP, strconv.Itoa(boot.Ports[0]))
 	born := time.Now()
 	name := boot.Name + "/" + strconv.FormatInt(born.UnixNano(), 36)
-	follower := &entry.Follower{Operator: platform.NewOperator(direct), Wait: policyWait, Boot: sinceBoot, Log: l}
+	waves := &platform.Waves{Log: l}
+	follower := &entry.Follower{Operator: platform.NewOperator(direct, waves), Wait: policyWait, Boot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: name, Address: address, Life: leaseLife, Brief: leaseBrief, Renew: leaseRenew, Keep: leaseKeep, Call: storeCall,
 		Beat: beatEvery, Defer: min(deferMost, time.Duration(float64(deferUnit)/max(boot.Cores, minCores))), Boot: sinceBoot, Log: l,
@@ -119,7 +120,7 @@
 		Heir:  func() (string, bool) { return v.entry.Heir() },
 		Offer: peers.Succeed,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
-			v.plan(ctx, v.engineConfig(st, lease, follower))
+			v.plan(ctx, v.engineConfig(st, lease, follower, waves))
 		},
 	})
 	v.entry = entry.New(entry.Config{
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -25,20 +25,25 @@
 	straggle      = 15 * time.Second // orders without an answer have been executed up to 12 s later
 )
 
-func (v *vm) engineConfig(st *store.Store, l *lead.Lease, f *entry.Follower) engine.Config {
+func (v *vm) engineConfig(st *store.Store, l *lead.Lease, f *entry.Follower, w *platform.Waves) engine.Config {
 	d := &platform.Discovery{Store: st, Log: v.log}
-
-	return engine.Config{
+	c := engine.Config{
+		Name:  v.entry.Name,
 		Store: st, Workers: platform.NewWorkers(v.log), Lease: l,
 		Timing: engine.Timing{
 			Lease: min(workerLease, v.boot.LongHold), LongHold: v.boot.LongHold, Overrun: leaseKeep - leaseLife, Wait: workerWait,
 			Call: workerCall, Start: startCall, Discover: discoverEvery, Keep: v.boot.Status + v.boot.Status/4, Recover: recoverWait,
 			Evict: evictAfter, Claim: claimLife, Backoff: refusedPause, Straggle: straggle,
-			Restore: v.boot.Restore,
+			Restore: v.boot.Restore, HostLease: v.boot.HostLease, Maintenance: v.boot.Upkeep,
 		},
 		Policy: func() *policy.Policy { return f.Policy() },
 		Boot:   sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes,
 		Advise:   platform.NewAdvice(v.boot.Advice),
 	}
+	if v.boot.Cloud != "" {
+		c.Cloud = platform.NewCloud(v.boot.Cloud, st, w)
+	}
+
+	return c
 }
--- /dev/null
+++ b/internal/core/upkeep/upkeep_test.go
@@ -0,0 +1,63 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/upkeep"
+)
+
+// TestDecide plays testdata: a wave's hosts, one a line, and what is decided.
+func TestDecide(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w := upkeep.Wave{Most: 1, Each: 2 * time.Second}
+			var left string
+			d.ScanArgs(t, "left", &left)
+			d.MaybeScanArgs(t, "most", &w.Most)
+			var err error
+			w.Left, err = time.ParseDuration(left)
+			require.NoError(t, err)
+			for line := range strings.SplitSeq(d.Input, "\n") {
+				w.Hosts = append(w.Hosts, readHost(t, strings.Fields(line)))
+			}
+			r := upkeep.Decide(w)
+
+			return fmt.Sprintf("close %v clear %v down %v", r.Close, r.Clear, r.Down)
+		})
+	})
+}
+
+// readHost reads a name and what is true of the host.
+func readHost(t *testing.T, fields []string) upkeep.Host {
+	h := upkeep.Host{Name: fields[0], Closed: -1}
+	for _, f := range fields[1:] {
+		name, value, _ := strings.Cut(f, "=")
+		switch name {
+		case "done":
+			h.Done = true
+		case "away":
+			h.Away = true
+		case "idle":
+			h.Idle = true
+		case "held":
+			h.Held = true
+		case "closed":
+			var err error
+			h.Closed, err = time.ParseDuration(value)
+			require.NoError(t, err)
+		case "lost":
+			_, err := fmt.Sscan(value, &h.Lost)
+			require.NoError(t, err)
+		default:
+			require.Fail(t, "unknown field", f)
+		}
+	}
+
+	return h
+}
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,7 @@
 	openPrefix     = "o/"
 	cancelPrefix   = "c/"
 	progressPrefix = "p/"
+	wavePrefix     = "w/"
 )
 
 // Kinds of record.
@@ -19,16 +21,20 @@
 	OpenRecord     Kind = iota + 1 // the job as handed in; same content whoever writes it
 	CancelRecord                   // the job is to end
 	ProgressRecord                 // state of the job; written by the planner only
+	WaveRecord                     // what is done of a wave of maintenance; written by the planner only
 )
 
 // Kind of a record.
 type Kind int
 
-var prefixes = map[Kind]string{OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix}
+var prefixes = map[Kind]string{OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix}
 
 // Key returns the key of a job's record.
 func Key(k Kind, id string) string { return prefixes[k] + id }
 
+// WaveKey returns the key of a maintenance wave's record.
+func WaveKey(number int) string { return wavePrefix + strconv.Itoa(number) }
+
 // ParseKey splits a key; the kind is 0 for a key of another writer.
 func ParseKey(key string) (Kind, string) {
 	for k, p := range prefixes {
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -12,6 +12,7 @@
 
 	"sesameyoke/internal/core/policy"
 	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/cloud"
 	"sesameyoke/internal/peer/store"
 	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/run/lead"
@@ -39,20 +40,22 @@
 type (
 	// Timing holds the planner's intervals and bounds.
 	Timing struct {
-		Lease    time.Duration // of the workers, from each renewal
-		LongHold time.Duration // longest lease that a worker grants
-		Overrun  time.Duration // a replaced planner may act for so long after its successor began
-		Wait     time.Duration // longest wait of a worker's report
-		Call     time.Duration // bound of one order
-		Start    time.Duration // bound of a start
-		Discover time.Duration // between readings of the list of workers
-		Keep     time.Duration // ended jobs are known for so long
-		Recover  time.Duration // a successor waits so long for the workers' first reports
-		Evict    time.Duration // urgent work waits so long for room before it evicts
-		Claim    time.Duration // room that was made is kept for so long
-		Backoff  time.Duration // a worker that refused an order gets none for so long
-		Restore  time.Duration // a run takes so long to resume from a checkpoint
-		Straggle time.Duration // an order without an answer may be executed for so long
+		Lease       time.Duration // of the workers, from each renewal
+		LongHold    time.Duration // longest lease that a worker grants
+		Overrun     time.Duration // a replaced planner may act for so long after its successor began
+		Wait        time.Duration // longest wait of a worker's report
+		Call        time.Duration // bound of one order
+		Start       time.Duration // bound of a start
+		Discover    time.Duration // between readings of the list of workers
+		Keep        time.Duration // ended jobs are known for so long
+		Recover     time.Duration // a successor waits so long for the workers' first reports
+		Evict       time.Duration // urgent work waits so long for room before it evicts
+		Claim       time.Duration // room that was made is kept for so long
+		Backoff     time.Duration // a worker that refused an order gets none for so long
+		Restore     time.Duration // a run takes so long to resume from a checkpoint
+		HostLease   time.Duration // a successor gives no order for a host before
+		Maintenance time.Duration // a host is down for maintenance so long
+		Straggle    time.Duration // an order without an answer may be executed for so long
 	}
 
 	// Config of an Engine.
@@ -65,12 +68,15 @@
 		Boot    func() time.Duration  // time since boot, suspension included
 		Now     func() time.Time
 		Log     *log.Logger
+		Name    string // of this VM, with its incarnation
 		Count   func(name string, n int64)
 		Observe func(name string, d time.Duration)
 
 		// Advise returns the tickets of the workers, of those named, that may run a
 		// step, and how long they are good. It is needed for advised queues only.
 		Advise func(ctx context.Context, step work.Task, workers []string) (map[string]string, time.Duration, error)
+		// Cloud controls the workers' hosts; nil where no maintenance is asked for.
+		Cloud *cloud.Client
 		// Discover returns the changes of the list of workers since the last call.
 		Discover func(ctx context.Context) (Listing, error)
 	}
@@ -98,7 +104,8 @@
 		lateStarts map[string][]lateStart // by worker
 		learnt     map[string]*runTime    // by queue
 		advised    map[string]*advice     // by step
-		asking     string                 // step that is being asked for
+		waves      map[int]*wave
+		asking     string // step that is being asked for
 		ready      bool
 		began      time.Duration
 		found      *Listing      // first reading of the list of workers
@@ -152,7 +159,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]policy.Queue{}, early: map[string]earlyCancel{}, unread: map[string][]byte{},
-		lateStarts: map[string][]lateStart{}, learnt: map[string]*runTime{}, advised: map[string]*advice{},
+		lateStarts: map[string][]lateStart{}, learnt: map[string]*runTime{}, advised: map[string]*advice{}, waves: map[int]*wave{},
 		kicked: make(chan struct{}, 1),
 	}
 	e.writer.init(e)
@@ -172,6 +179,9 @@
 	e.session.Go(func() { e.writer.run(ctx) })
 	e.session.Go(func() { e.discover(ctx) })
 	e.session.Go(func() { e.readHandins(ctx) })
+	if e.Cloud != nil {
+		e.session.Go(func() { e.maintain(ctx) })
+	}
 	e.awaitReports(ctx)
 	e.mu.Lock()
 	e.ready = true
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -191,7 +191,7 @@
 		w := e.workers[name]
 		a := assign.Worker{
 			Service: w.Service, Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.free,
-			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && w.Host != "",
+			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && !w.shut && w.Host != "",
 			Penalty: w.record.penalty(now), Slow: w.slowness(now),
 		}
 		if c, ok := e.claims[name]; ok {
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,6 +103,10 @@
 			e.enterOpen(r, false)
 		case work.ProgressRecord:
 			progress[id] = r.Value
+		case work.WaveRecord:
+			if n, err := strconv.Atoi(id); err == nil {
+				e.enterWave(n, r.Value)
+			}
 		default:
 			e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 		}
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -132,12 +132,12 @@
 
 func (r *rig) config(st *store.Store, workers *target.Client, l *lead.Lease) engine.Config {
 	c := engine.Config{
-		Store: st, Workers: workers, Lease: l,
+		Store: st, Workers: workers, Lease: l, Name: fmt.Sprintf("vm of %d", l.Token), Cloud: r.fleet.Cloud(),
 		Timing: engine.Timing{
 			Lease: 6 * time.Second, LongHold: 10 * time.Second, Overrun: 4200 * time.Millisecond, Wait: 1800 * time.Millisecond,
 			Call: 700 * time.Millisecond, Start: 450 * time.Millisecond, Discover: 400 * time.Millisecond, Keep: 150 * time.Second, Recover: 800 * time.Millisecond,
 			Evict: 900 * time.Millisecond, Claim: 1500 * time.Millisecond, Backoff: time.Second, Straggle: 15 * time.Second,
-			Restore: 100 * time.Millisecond,
+			Restore: 100 * time.Millisecond, HostLease: 3 * time.Second, Maintenance: 2 * time.Second,
 		},
 		Policy: func() *policy.Policy { return r.policy }, Boot: r.boot, Now: time.Now, Log: r.log,
 		Count: func(string, int64) {}, Observe: func(string, time.Duration) {},
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/cloud"
 	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/standin/fleet"
 )
@@ -103,6 +104,12 @@
 		time.Sleep(length)
 	case "state":
 		return r.state(name)
+	case "wave":
+		r.askMaintenance(t, d)
+	case "waved":
+		state, n := r.fleet.WaveState(1)
+
+		return fmt.Sprintf("%s, %d hosts", state, n)
 	case "worker":
 		r.worker(t, name, d.CmdArgs[1].Key)
 	case "runs":
@@ -129,6 +136,18 @@
 	}
 }
 
+// askMaintenance asks for wave 1 on the named workers' hosts.
+func (r *rig) askMaintenance(t *testing.T, d *datadriven.TestData) {
+	w := cloud.Wave{Number: 1, Within: 30 * time.Second, Most: 1}
+	d.MaybeScanArgs(t, "most", &w.Most)
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			w.Hosts = append(w.Hosts, "h-"+a.Key)
+		}
+	}
+	r.fleet.AskMaintenance(w)
+}
+
 func parseFaults(t *testing.T, d *datadriven.TestData) fleet.StoreFaults {
 	f := fleet.StoreFaults{Down: d.HasArg("down"), Silent: d.HasArg("silent")}
 	d.MaybeScanArgs(t, "lose", &f.Lose)
@@ -143,6 +162,11 @@
 // setOutcome sets how long runs work, and how the first ones end.
 func (r *rig) setOutcome(t *testing.T, d *datadriven.TestData) {
 	length, fails, only := 2000, 0, ""
+	if d.HasArg("endless") {
+		r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return fleet.Endless, target.Done }
+
+		return
+	}
 	d.MaybeScanArgs(t, "ms", &length)
 	d.MaybeScanArgs(t, "fails", &fails)
 	d.MaybeScanArgs(t, "index", &only)
@@ -161,6 +185,7 @@
 	d.MaybeScanArgs(t, "accelerators", &s.Need.Accelerators)
 	s.Gang, s.OneRack, s.Checkpoints = d.HasArg("gang"), d.HasArg("together"), d.HasArg("checkpoints")
 	s.Lasting = d.HasArg("lasting")
+	d.MaybeScanArgs(t, "mayMiss", &s.MayMiss)
 	j := work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{s}}
 	d.MaybeScanArgs(t, "queue", &j.Queue)
 	d.MaybeScanArgs(t, "times", &j.Times)
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -32,6 +32,7 @@
 	ackSent  int64         // highest end that the worker knows to be durable
 	silent   time.Duration // no report since; 0 while it reports
 	refusing time.Duration // gets no starts until then
+	shut     bool          // its host is to go down for maintenance
 	leaves   time.Duration // a draining worker stays until then at least
 
 	slow       float64       // learnt: how much longer than usual its runs take
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -23,6 +23,7 @@
 		e       *Engine
 		dirty   []*job
 		dropped []*job
+		kept    []store.Record // besides the jobs
 		waiting []func(error)
 		wake    chan struct{}
 		next    int64 // sequence number
@@ -66,6 +67,12 @@
 	w.poke()
 }
 
+// keep writes a record that belongs to no job; f is called as that of put.
+func (w *writer) keep(key string, value []byte, f func(error)) {
+	w.kept = append(w.kept, store.Record{Key: key, Value: value})
+	w.after(f)
+}
+
 // drop deletes a job's records.
 func (w *writer) drop(s *job) {
 	w.dropped = append(w.dropped, s)
@@ -132,7 +139,8 @@
 	for _, s := range w.dropped {
 		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, s.ID)}, store.Record{Key: work.Key(work.ProgressRecord, s.ID)})
 	}
-	w.dropped = nil
+	g.records = append(g.records, w.kept...)
+	w.dropped, w.kept = nil, nil
 	if len(w.dirty) == 0 {
 		g.done, w.waiting = w.waiting, nil
 	}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -14,7 +14,11 @@
 	"sesameyoke/internal/run/engine"
 )
 
+// Endless is the length of a lasting task that does not fail.
+const Endless time.Duration = 1 << 62
+
 const (
+	startup   = 500 * time.Millisecond // until a lasting task is at work
 	longHold  = 10 * time.Second
 	step      = 10 * time.Millisecond // in which the workers' time passes
 	killGrace = 300 * time.Millisecond
@@ -37,6 +41,7 @@
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 
 		mu      sync.Mutex
+		hosts   hosts
 		workers map[string]*Worker
 		changes []string // workers whose entries changed
 		late    float64  // share of the orders that get no answer and are done later
@@ -48,6 +53,7 @@
 		target.Worker
 
 		up, cut, listed bool
+		maintained      bool            // is down for maintenance
 		cutFrom         map[string]bool // callers that do not reach it
 		bornAt          time.Time
 		rate            float64 // of its clock
@@ -77,7 +83,11 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet(roll func() float64) *Fleet {
-	return &Fleet{Roll: roll, workers: map[string]*Worker{}, Journal: Journal{jobs: map[string]work.Job{}, refused: map[string]bool{}}}
+	h := hosts{
+		states: map[int]string{}, begun: map[int]map[string]bool{}, down: map[int]int{}, tokens: map[string]int64{}, holders: map[string]string{},
+	}
+
+	return &Fleet{Roll: roll, hosts: h, workers: map[string]*Worker{}, Journal: Journal{jobs: map[string]work.Job{}, refused: map[string]bool{}}}
 }
 
 // Run lets the workers' time pass until the context ends.
@@ -418,6 +428,9 @@
 	if !r.working {
 		return 0
 	}
+	if r.length == Endless {
+		return min(100, int(100*r.worked/startup))
+	}
 
 	return min(100, int(100*r.worked/r.length))
 }
@@ -467,11 +480,16 @@
 	case gang > 0 && here < gang:
 	case !r.working:
 		r.working, r.at = true, time.Now()
+	case f.lasts(r):
 	case r.worked >= r.length:
 		f.finish(r, gang)
 	}
 }
 
+// lasts reports whether a run goes on until it is stopped, which shows as an endless
+// length; its percentage reaches 100 once it is at work.
+func (f *Fleet) lasts(r *activeRun) bool { return r.length == Endless }
+
 // finish ends a run, and all of its gang, as it was to end.
 func (f *Fleet) finish(r *activeRun, gang int) {
 	for _, id := range sortedIDs(f.workers) {
