Pace tasks that fill beside serving ones; start copies of slow speculative tasks

Sharing: a worker on which tasks fill beside serving ones reports twice a second; the share of the filling ones (core/share) is cut to 0.4 of itself when a target is missed, to nothing after 1.5 s, and grows by 8 points while the tails are low. A task without a share for 5 s goes elsewhere, where processors are unused. A successor does not know the share: it sets its own. Copies: a task of a speculative step that would end 1.5 times sooner elsewhere gets a second run; the first end counts, both failures count.

Ways weighed for the share: a model of each pair of images (needs many readings of effects that change within seconds), or feedback alone (chosen).

--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -29,6 +29,8 @@
 		Penalty float64 // 0 for a worker with a good record
 		Slow    float64 // how much longer than usual its runs take; 1 is usual
 		Claim   string  // unit that its room is kept for
+		NoFill  bool    // takes no tasks that fill
+		Busy    float64 // share of its processors that is spoken for
 		Kept    int     // lowest priority that may not use it; 0 if all may
 		Runs    []Run
 	}
@@ -45,6 +47,7 @@
 		Near     string // rack that holds the data
 		Stay     bool   // only on that rack
 		Spread   int
+		Fills    bool         // takes the processor time that others leave
 		Placed   map[int]int  // tasks of the step that run already, by worker
 		Avoid    map[int]bool // workers on which it has failed
 		Allowed  map[int]bool // the only workers that may run it; nil for any
@@ -78,6 +81,7 @@
 
 const (
 	slowFrom  = 2.0 // slower workers are used last
+	busyCost  = 4.0 // of a worker whose processors are all spoken for, to a task that fills
 	rackDelay = 24  // accelerators left free on a rack that a delay of 1 is worth
 	slowCost  = 5.0 // for each time that such a worker takes longer
 )
@@ -273,6 +277,9 @@
 			continue
 		}
 		x := w.Penalty + leftover(free.Minus(u.Need), w.Room) + w.delay(u)
+		if u.Fills {
+			x = w.Penalty + w.delay(u) + busyCost*w.Busy
+		}
 		if u.Near != "" && w.Rack != u.Near {
 			x += 10
 		}
@@ -304,7 +311,7 @@
 		return false
 	case w.Claim != "" && w.Claim != u.Name, w.Kept > 0 && u.Priority >= w.Kept && !u.Overdue:
 		return false
-	case w.Service != u.Service:
+	case w.Service != u.Service, u.Fills && w.NoFill:
 		return false
 	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
 		return false
--- /dev/null
+++ b/internal/core/share/share_test.go
@@ -0,0 +1,50 @@
+package share_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/share"
+)
+
+const target = 100 * time.Millisecond
+
+// TestPace plays testdata: the tails of the serving tasks, one report each 0.5 s, and
+// the share of the filling ones after each.
+func TestPace(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		p := share.Pace{Percent: share.First}
+		now := time.Minute
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var after []string
+			for line := range strings.SplitSeq(d.Input, "\n") {
+				p = p.Next(now, readServing(t, strings.Fields(line)))
+				now += 500 * time.Millisecond
+				after = append(after, strconv.Itoa(p.Percent))
+			}
+
+			return fmt.Sprint(after)
+		})
+	})
+}
+
+// readServing reads tails in milliseconds; "none" is no serving task.
+func readServing(t *testing.T, fields []string) []share.Serving {
+	var all []share.Serving
+	for _, f := range fields {
+		if f == "none" {
+			continue
+		}
+		n, err := strconv.Atoi(f)
+		require.NoError(t, err)
+		all = append(all, share.Serving{Tail: time.Duration(n) * time.Millisecond, Target: target})
+	}
+
+	return all
+}
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -129,8 +129,8 @@
 	return most
 }
 
-// left returns how long the run still takes where it is.
-func (r Run) left() time.Duration {
+// Left returns how long the run still takes where it is.
+func (r Run) Left() time.Duration {
 	rest := float64(full-r.Track.Percent()) / full
 	switch {
 	case r.Track.Still(r.Length):
@@ -142,8 +142,8 @@
 	return time.Duration(rest * float64(r.Length))
 }
 
-// again returns how long it takes from now if it is moved.
-func (r Run) again() time.Duration {
+// Again returns how long it takes from now if it is moved.
+func (r Run) Again() time.Duration {
 	if !r.Saves {
 		return r.Length + moveCost
 	}
@@ -157,7 +157,7 @@
 	if r.Length <= 0 || r.Track.Percent() >= full {
 		return false
 	}
-	left := r.left()
+	left := r.Left()
 	if r.Leaves >= 0 {
 		stays := r.Leaves + lingers
 		if r.Saves {
@@ -168,5 +168,5 @@
 		}
 	}
 
-	return float64(left) > moveFactor*float64(r.again())
+	return float64(left) > moveFactor*float64(r.Again())
 }
--- a/internal/peer/target/target.go
+++ b/internal/peer/target/target.go
@@ -82,6 +82,15 @@
 		Run     int64
 		Saved   string
 		Percent int
+		Usage   int // tail in milliseconds of a task that serves, else thousandths of a core in use
+	}
+
+	// Pace sets the share at which a task works.
+	Pace struct {
+		Task    work.Task
+		Run     int64
+		Percent int
+		Token   int64
 	}
 
 	// End is the end of a run.
@@ -117,10 +126,11 @@
 		Sequence int64
 	}
 
-	// Client gives orders. Start and Stop return the worker's clock.
+	// Client gives orders. Start, Stop and Pace return the worker's clock.
 	Client struct {
 		Start func(ctx context.Context, a Address, s Start) (int64, error)
 		Stop  func(ctx context.Context, a Address, s Stop) (int64, error)
+		Pace  func(ctx context.Context, a Address, p Pace) (int64, error)
 		Hold  func(ctx context.Context, a Address, h Hold) (Report, error)
 	}
 )
--- a/internal/run/engine/orders.go
+++ b/internal/run/engine/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sesameyoke/internal/core/share"
 	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/run/timer"
 )
@@ -114,6 +115,10 @@
 	if err == nil {
 		m.phase, m.settled, m.began = running, e.Boot(), e.Boot()
 		e.trackFrom(m, clock)
+		m.paced = share.Full
+		if m.fills() && w.shares() {
+			e.paceMember(m, e.Boot())
+		}
 		e.Log.Info().Str("event", "run-started").Str("id", u.job.ID).Str("unit", u.name).Int("task", m.index).
 			Int64("run", u.run).Str("worker", w.ID).Str("saved", m.from).Dur("age", e.Boot()-u.job.accepted).Msg("")
 		if u.aborted {
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	servingShare = 2                // a serving task makes filling ones stay off this part of a worker
 	accelCores   = 8                // an accelerator counts as so many cores
 	overdueAfter = 12 * time.Second // work that waits longer may use workers kept for urgent work
 )
@@ -142,6 +143,7 @@
 	return assign.Unit{
 		Name: unitName(s, occur, step, 0), Service: q.Service, Tasks: tasks, Need: room(st), Gang: st.Gang, Together: st.OneRack && st.Gang,
 		Label: st.Label, Near: st.Rack, Stay: st.Rack != "", Spread: st.Spread, Priority: q.Priority, Haste: haste(q.Priority),
+		Fills: st.Fills,
 	}
 }
 
@@ -194,6 +196,7 @@
 			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && !w.shut && w.Host != "",
 			Penalty: w.record.penalty(now), Slow: w.slowness(now),
 		}
+		a.NoFill, a.Busy = now < w.noFill, w.busy()
 		if c, ok := e.claims[name]; ok {
 			a.Claim = c.unit
 			if now > c.until {
@@ -214,6 +217,20 @@
 	return f
 }
 
+// busy returns the share of a worker's processors that its tasks want: filling ones
+// besides what they hold of its capacity.
+func (w *worker) busy() float64 {
+	wanted := 0
+	for _, m := range w.all() {
+		wanted += m.unit.job.Steps[m.unit.step].Need.CPU
+		if m.serves() {
+			wanted += w.Room.CPU / servingShare
+		}
+	}
+
+	return float64(wanted) / float64(max(1, w.Room.CPU))
+}
+
 func (e *Engine) evictable(m *member, now time.Duration) assign.Run {
 	u := m.unit
 	r := assign.Run{Group: u.name, Need: m.need(), Priority: e.rules(u.job.Queue).Priority, Ending: u.aborted || u.done}
--- a/internal/run/engine/progress.go
+++ b/internal/run/engine/progress.go
@@ -65,7 +65,7 @@
 		sure    []bool
 	)
 	for _, m := range w.all() {
-		if m.phase != running || !m.tracked || m.unit.orphan || m.unit.job.Steps[m.unit.step].Lasting {
+		if m.phase != running || !m.tracked || m.unit.orphan || m.fills() || m.unit.job.Steps[m.unit.step].Lasting {
 			continue
 		}
 		u := e.usual(m)
@@ -175,6 +175,7 @@
 		return
 	}
 	e.reviewed = now
+	e.copySlow()
 	var f *fleet
 	seen := map[*unit]bool{}
 	for _, name := range e.troubled(now) {
@@ -186,7 +187,7 @@
 			if f == nil {
 				f = e.fleet()
 			}
-			if e.fitsElsewhere(m.unit, f) || e.lastChance(m, now) {
+			if e.lastChance(m, now) || len(e.placeElsewhere(m.unit, f)) > 0 {
 				e.abort(m.unit, "moved")
 				e.Count("moves", 1)
 			}
@@ -210,7 +211,7 @@
 // better reports whether a member's unit would end sooner if it moved.
 func (e *Engine) better(m *member, now time.Duration) bool {
 	u := m.unit
-	if m.phase != running || u.orphan || u.aborted || u.done {
+	if m.phase != running || u.orphan || u.aborted || u.done || (m.fills() && !m.worker.Draining) {
 		return false
 	}
 	st := &u.job.Steps[u.step]
@@ -233,9 +234,9 @@
 	return m.worker.Draining && m.unit.job.Steps[m.unit.step].Checkpoints && now >= m.worker.leaves-lastMoment
 }
 
-// fitsElsewhere reports whether a unit could start again at once, and takes that
-// room from the fleet.
-func (e *Engine) fitsElsewhere(u *unit, f *fleet) bool {
+// placeElsewhere returns places where a unit could start again at once, and takes
+// that room from the fleet; none if there are not enough.
+func (e *Engine) placeElsewhere(u *unit, f *fleet) []assign.Placement {
 	st := &u.job.Steps[u.step]
 	tasks := make([]int, 0, len(u.members))
 	for _, m := range u.members {
@@ -246,22 +247,24 @@
 		c.allow = a.tickets
 	}
 	e.localize(&c, f)
-	c.unit.Placed = nil // its own runs end
 	free := make([]work.Shape, len(f.workers))
 	for i := range f.workers {
 		free[i] = f.workers[i].Free
 	}
-	for _, m := range u.members {
-		if i, ok := f.index[m.worker.ID]; ok && m.phase != gone {
-			f.workers[i].Free = f.workers[i].Free.Plus(room(st))
+	if !st.Speculative {
+		c.unit.Placed = nil // its own runs end
+		for _, m := range u.members {
+			if i, ok := f.index[m.worker.ID]; ok && m.phase != gone {
+				f.workers[i].Free = f.workers[i].Free.Plus(room(st))
+			}
 		}
 	}
-	if len(assign.Decide(f.workers, []assign.Unit{c.unit}).Placements) == len(tasks) {
-		return true
+	if p := assign.Decide(f.workers, []assign.Unit{c.unit}).Placements; len(p) == len(tasks) {
+		return p
 	}
 	for i := range f.workers {
 		f.workers[i].Free = free[i]
 	}
 
-	return false
+	return nil
 }
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -247,7 +247,7 @@
 		e.workers[w.ID] = w
 		e.attend(w)
 	}
-	m := &member{unit: u, index: index, worker: w, phase: unsure, from: t.Saved, saved: t.Saved, settled: 1, byOther: true}
+	m := &member{unit: u, index: index, worker: w, phase: unsure, from: t.Saved, saved: t.Saved, settled: 1, byOther: true, paced: -1}
 	if o := w.find(m.task(), u.run); o != nil && o.unit.orphan {
 		e.release(o) // it was seen before its job was read
 	}
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -170,7 +170,12 @@
 	d.MaybeScanArgs(t, "ms", &length)
 	d.MaybeScanArgs(t, "fails", &fails)
 	d.MaybeScanArgs(t, "index", &only)
+	var endless string
+	d.MaybeScanArgs(t, "lasts", &endless)
 	r.fleet.Outcome = func(task work.Task, run int64, _ string) (time.Duration, target.How) {
+		if task.Job == endless {
+			return fleet.Endless, target.Done
+		}
 		if run <= int64(fails) && (only == "" || only == fmt.Sprint(task.Index)) {
 			return 500 * time.Millisecond, target.Failed
 		}
@@ -185,7 +190,9 @@
 	d.MaybeScanArgs(t, "accelerators", &s.Need.Accelerators)
 	s.Gang, s.OneRack, s.Checkpoints = d.HasArg("gang"), d.HasArg("together"), d.HasArg("checkpoints")
 	s.Lasting = d.HasArg("lasting")
+	s.Fills, s.Speculative = d.HasArg("fills"), d.HasArg("speculative")
 	d.MaybeScanArgs(t, "mayMiss", &s.MayMiss)
+	d.MaybeScanArgs(t, "target", &s.Target)
 	j := work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{s}}
 	d.MaybeScanArgs(t, "queue", &j.Queue)
 	d.MaybeScanArgs(t, "times", &j.Times)
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -84,6 +84,9 @@
 	} else if w.silent == 0 { // a silent worker's lease must be able to expire
 		h.Deadline = w.extend(e.Boot(), e.Timing.Lease)
 	}
+	if w.shares() {
+		h.Wait = min(h.Wait, shareWait)
+	}
 	for _, m := range w.all() {
 		if m.settled != 0 && m.phase == unsure {
 			h.Wait = min(h.Wait, settleHold)
@@ -183,6 +186,7 @@
 		e.sawRunning(w, run, listed)
 	}
 	e.judgeWorker(w)
+	e.paceWorker(w)
 	for _, m := range w.all() {
 		if !listed[m] && m.phase != planned && m.phase != starting && m.settled != 0 && sent > m.settled {
 			e.ended(m, target.Lapsed, "")
@@ -322,6 +326,7 @@
 	if m.phase == unsure && !m.halting {
 		m.phase, m.settled, m.began = running, e.Boot(), e.Boot()
 	}
+	m.usage = r.Usage
 	if m.phase == running {
 		e.progressed(m, r.Percent)
 	}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sesameyoke/internal/core/share"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
 )
@@ -32,6 +33,8 @@
 	ackSent  int64         // highest end that the worker knows to be durable
 	silent   time.Duration // no report since; 0 while it reports
 	refusing time.Duration // gets no starts until then
+	pace     share.Pace    // of tasks that fill
+	noFill   time.Duration // gets no filling tasks until then
 	shut     bool          // its host is to go down for maintenance
 	leaves   time.Duration // a draining worker stays until then at least
 
@@ -50,7 +53,7 @@
 }
 
 func newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, free: w.Room, slow: 1, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, free: w.Room, slow: 1, pace: share.Pace{Percent: share.First}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 func (w *worker) address() target.Address { return target.Address{ID: w.ID, Host: w.Host} }
