Bar workers that fail what they are given; keep last tries off doubtful ones

A worker that fails two jobs in a row is barred for 2.5 s, then longer, at most three in ten at once; a failure of a job that has failed elsewhere does not count against it. A task whose next failure fails its job keeps off workers that have failed anything of late.

Ruled out: longer bars from the first failure on (one failure in twenty is the task's own).

--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -16,9 +16,12 @@
 func TestTrack(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracks := map[string]*watch.Track{}
+		var record watch.Record
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			name := d.CmdArgs[0].Key
 			switch d.Cmd {
+			case "ends":
+				return ends(t, d, &record)
 			case "run":
 				tracks[name] = readTrack(t, d.Input)
 
@@ -97,3 +100,26 @@
 
 	return fmt.Sprintf("%.1f", watch.Slowness(factors, sure))
 }
+
+// ends takes in how runs end, one a line with its time, and shows the record after each.
+func ends(t *testing.T, d *datadriven.TestData, r *watch.Record) string {
+	if d.CmdArgs[0].Key == "new" {
+		*r = watch.Record{}
+	}
+	var lines []string
+	for line := range strings.SplitSeq(d.Input, "\n") {
+		f := strings.Fields(line)
+		now, err := time.ParseDuration(f[0])
+		require.NoError(t, err)
+		switch f[1] {
+		case "done":
+			r.Succeed()
+		case "failed", "elsewhere":
+			r.Fail(now, f[1] == "elsewhere")
+		case "later":
+		}
+		lines = append(lines, fmt.Sprintf("barred %v doubtful %v penalty %v", r.Barred(now), r.Doubtful(now), r.Penalty(now)))
+	}
+
+	return strings.Join(lines, "\n")
+}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -188,13 +188,14 @@
 	}
 	slices.Sort(f.names)
 	now := e.Boot()
+	barred := e.barred(now)
 	for i, name := range f.names {
 		f.index[name] = i
 		w := e.workers[name]
 		a := assign.Worker{
 			Service: w.Service, Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.free,
-			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && !w.shut && w.Host != "",
-			Penalty: w.record.penalty(now), Slow: w.slowness(now),
+			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && !w.shut && !barred[name] && w.Host != "",
+			Penalty: w.record.Penalty(now), Slow: w.slowness(now),
 		}
 		a.NoFill, a.Busy = now < w.noFill, w.busy()
 		if c, ok := e.claims[name]; ok {
@@ -231,6 +232,25 @@
 	return float64(wanted) / float64(max(1, w.Room.CPU))
 }
 
+// mostBarred is the share of the workers that may be barred at once: if more fail
+// work, the work is at fault.
+const mostBarred = 0.3
+
+// barred returns the workers that fail what they are given.
+func (e *Engine) barred(now time.Duration) map[string]bool {
+	names := map[string]bool{}
+	for name, w := range e.workers {
+		if w.record.Barred(now) {
+			names[name] = true
+		}
+	}
+	if float64(len(names)) > mostBarred*float64(len(e.workers)) {
+		return nil
+	}
+
+	return names
+}
+
 func (e *Engine) evictable(m *member, now time.Duration) assign.Run {
 	u := m.unit
 	r := assign.Run{Group: u.name, Need: m.need(), Priority: e.rules(u.job.Queue).Priority, Ending: u.aborted || u.done}
@@ -255,30 +275,14 @@
 	return cores * (now - m.began).Seconds()
 }
 
-const (
-	distrustFails = 2                // failures in a row after which a worker is the last choice
-	distrusted    = 100.0            // cost of such a worker, in shares of a worker left free
-	failCost      = 2.0              // of each failure before
-	distrust      = 30 * time.Second // for so long
-)
-
-// penalty grows with the failures in a row.
-func (r *record) penalty(now time.Duration) float64 {
-	if r.Failed == 0 || now-r.At > distrust {
-		return 0
-	}
-	if r.Failed >= distrustFails {
-		return distrusted
-	}
-
-	return failCost * float64(r.Failed)
-}
-
 // localize fills in what a unit's place depends on.
 func (e *Engine) localize(c *candidate, f *fleet) {
 	if len(c.job.bad) > 0 {
 		c.unit.Avoid = set(f, c.job.bad)
 	}
+	if e.lastTry(c) {
+		e.avoidDoubtful(c, f)
+	}
 	if c.allow != nil {
 		c.unit.Allowed = set(f, c.allow)
 	}
@@ -293,6 +297,31 @@
 	e.relax(c, f)
 }
 
+// lastTry reports whether one more failure of a unit fails its job.
+func (e *Engine) lastTry(c *candidate) bool {
+	attempts := e.rules(c.job.Queue).Attempts
+	for _, t := range c.unit.Tasks {
+		if fails := c.job.Occurs[c.occur].Steps[c.step][t].Fails; fails > 0 && fails >= attempts-1 {
+			return attempts > 0
+		}
+	}
+
+	return false
+}
+
+// avoidDoubtful keeps a unit off the workers that have failed work of late.
+func (e *Engine) avoidDoubtful(c *candidate, f *fleet) {
+	now := e.Boot()
+	for i, name := range f.names {
+		if e.workers[name].record.Doubtful(now) {
+			if c.unit.Avoid == nil {
+				c.unit.Avoid = map[int]bool{}
+			}
+			c.unit.Avoid[i] = true
+		}
+	}
+}
+
 // set returns the workers that are keys of m.
 func set[V any](f *fleet, m map[string]V) map[int]bool {
 	in := map[int]bool{}
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -262,7 +262,7 @@
 	e.Log.Info().Str("event", "run-ended").Str("id", u.job.ID).Str("unit", u.name).Int("task", m.index).
 		Int64("run", u.run).Str("how", string(how)).Str("worker", m.worker.ID).Dur("age", e.Boot()-u.began).Msg("")
 	e.Count("ends_"+string(how), 1)
-	m.worker.note(how, e.Boot())
+	m.worker.note(how, e.Boot(), u.job.failedElsewhere(m.worker.ID))
 	switch how {
 	case target.Done:
 		e.succeed(u)
@@ -279,6 +279,17 @@
 	e.release(m)
 }
 
+// failedElsewhere reports whether the job has failed on other workers.
+func (s *job) failedElsewhere(worker string) bool {
+	for name := range s.bad {
+		if name != worker {
+			return true
+		}
+	}
+
+	return false
+}
+
 // avoid remembers that a run of the job has failed on a worker.
 func (s *job) avoid(worker string) {
 	if s.bad == nil {
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameyoke/internal/core/share"
+	"sesameyoke/internal/core/watch"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
 )
@@ -42,14 +43,7 @@
 	slowNow    float64       // a passing slowness besides, until slowUntil
 	slowUntil  time.Duration // its runs were slow of late
 	stillUntil time.Duration // its runs stood still of late
-	record     record
-}
-
-// record is what a worker's runs have shown.
-type record struct {
-	Done   int
-	Failed int // in a row
-	At     time.Duration
+	record     watch.Record
 }
 
 func newWorker(w target.Worker) *worker {
@@ -126,15 +120,14 @@
 	return ms
 }
 
-// note adds the end of a run to the worker's record.
-func (w *worker) note(how target.How, boot time.Duration) {
+// note adds the end of a run to the worker's record. Elsewhere tells that its job
+// has failed on other workers.
+func (w *worker) note(how target.How, boot time.Duration, elsewhere bool) {
 	switch how {
 	case target.Done:
-		w.record.Done++
-		w.record.Failed = 0
+		w.record.Succeed()
 	case target.Failed:
-		w.record.Failed++
-		w.record.At = boot
+		w.record.Fail(boot, elsewhere)
 	}
 }
 
@@ -144,6 +137,6 @@
 	w.Born, w.floor = born, floor
 	w.seen, w.acked, w.ackSent = 0, 0, 0
 	w.deadline = 0
-	w.record = record{}
+	w.record = watch.Record{}
 	w.slowUntil, w.stillUntil = 0, 0
 }
