Choose a unit's workers from a heap; split the files that had grown

Cause: each task of a step looked at every worker again. A task changes the cost of its own worker only. Decisions are the same (TestDecide).

--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -3,6 +3,7 @@
 package assign
 
 import (
+	"container/heap"
 	"slices"
 
 	"sesameyoke/internal/core/work"
@@ -80,10 +81,11 @@
 )
 
 const (
-	slowFrom  = 2.0 // slower workers are used last
-	busyCost  = 4.0 // of a worker whose processors are all spoken for, to a task that fills
-	rackDelay = 24  // accelerators left free on a rack that a delay of 1 is worth
-	slowCost  = 5.0 // for each time that such a worker takes longer
+	slowFrom  = 2.0  // slower workers are used last
+	busyCost  = 4.0  // of a worker whose processors are all spoken for, to a task that fills
+	farCost   = 10.0 // of a rack that does not hold the data
+	rackDelay = 24   // accelerators left free on a rack that a delay of 1 is worth
+	slowCost  = 5.0  // for each time that such a worker takes longer
 )
 
 // Decide places units in the given order. It changes Free of the workers.
@@ -249,46 +251,88 @@
 	return names
 }
 
-// fill puts as many tasks as fit on the given workers.
+// offer is a worker with the cost of one more task there.
+type offer struct {
+	cost   float64
+	worker int
+}
+
+// offers is a heap of workers, the cheapest first.
+type offers []offer
+
+func (o offers) Len() int      { return len(o) }
+func (o offers) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+func (o offers) Less(i, j int) bool {
+	if o[i].cost == o[j].cost {
+		return o[i].worker < o[j].worker
+	}
+
+	return o[i].cost < o[j].cost
+}
+
+// Push adds an offer.
+func (o *offers) Push(x any) {
+	if v, ok := x.(offer); ok {
+		*o = append(*o, v)
+	}
+}
+
+// Pop removes the last offer.
+func (o *offers) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+
+	return last
+}
+
+// fill puts as many tasks as fit on the given workers, each on the cheapest one. A
+// task changes the cost of its own worker only.
 func fill(workers []Worker, among []int, u *Unit) choice {
 	c := choice{taken: map[int]int{}}
-	for range u.Tasks {
-		w := bestFit(workers, among, u, &c)
-		if w < 0 {
-			break
+	open := make(offers, 0, len(among))
+	for _, i := range among {
+		if cost, ok := costOf(workers, i, u, &c); ok {
+			open = append(open, offer{cost, i})
+		}
+	}
+	heap.Init(&open)
+	for len(c.at) < len(u.Tasks) && len(open) > 0 {
+		i := open[0].worker
+		c.at = append(c.at, i)
+		c.taken[i]++
+		if cost, ok := costOf(workers, i, u, &c); ok {
+			open[0].cost = cost
+			heap.Fix(&open, 0)
+		} else {
+			heap.Pop(&open)
 		}
-		c.at = append(c.at, w)
-		c.taken[w]++
 	}
 
 	return c
 }
 
-// bestFit returns the allowed worker with the least room to spare, or -1.
-func bestFit(workers []Worker, among []int, u *Unit, c *choice) int {
-	best, cost := -1, 0.0
-	for _, i := range among {
-		w := &workers[i]
-		if !allowed(w, i, u, c) {
-			continue
-		}
-		free := w.Free.Minus(times(u.Need, c.taken[i]))
-		if !u.Need.Fits(free) {
-			continue
-		}
-		x := w.Penalty + leftover(free.Minus(u.Need), w.Room) + w.delay(u)
-		if u.Fills {
-			x = w.Penalty + w.delay(u) + busyCost*w.Busy
-		}
-		if u.Near != "" && w.Rack != u.Near {
-			x += 10
-		}
-		if best < 0 || x < cost {
-			best, cost = i, x
-		}
+// costOf returns the cost of one more task on a worker, least where that leaves the
+// least room to spare, and whether it may run there.
+func costOf(workers []Worker, i int, u *Unit, c *choice) (float64, bool) {
+	w := &workers[i]
+	free := w.Free
+	if n := c.taken[i]; n > 0 {
+		free = free.Minus(times(u.Need, n))
+	}
+	if !u.Need.Fits(free) || !allowed(w, i, u, c) {
+		return 0, false
+	}
+	x := w.Penalty + w.delay(u)
+	if u.Fills {
+		x += busyCost * w.Busy
+	} else {
+		x += leftover(free.Minus(u.Need), w.Room)
+	}
+	if u.Near != "" && w.Rack != u.Near {
+		x += farCost
 	}
 
-	return best
+	return x, true
 }
 
 // delay is the cost of a worker's slowness to a unit. A passing slowness counts
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	servingShare = 2                // a serving task makes filling ones stay off this part of a worker
-	accelCores   = 8                // an accelerator counts as so many cores
 	overdueAfter = 12 * time.Second // work that waits longer may use workers kept for urgent work
 )
 
@@ -25,13 +23,6 @@
 		allow map[string]string // tickets by worker; nil where none are needed
 		unit  assign.Unit
 	}
-
-	// fleet is the workers as a decision sees them.
-	fleet struct {
-		names   []string
-		index   map[string]int
-		workers []assign.Worker
-	}
 )
 
 // pass decides what starts and what gives way, and gives the orders.
@@ -180,101 +171,6 @@
 	return n
 }
 
-// fleet collects the workers and what could be evicted from them.
-func (e *Engine) fleet() *fleet {
-	f := &fleet{index: map[string]int{}}
-	for name := range e.workers {
-		f.names = append(f.names, name)
-	}
-	slices.Sort(f.names)
-	now := e.Boot()
-	barred := e.barred(now)
-	for i, name := range f.names {
-		f.index[name] = i
-		w := e.workers[name]
-		a := assign.Worker{
-			Service: w.Service, Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.free,
-			Open:    w.listed && w.reached && !w.Draining && w.silent == 0 && now >= w.refusing && now >= w.stillUntil && !w.shut && !barred[name] && w.Host != "",
-			Penalty: w.record.Penalty(now), Slow: w.slowness(now),
-		}
-		a.NoFill, a.Busy = now < w.noFill, w.busy()
-		if c, ok := e.claims[name]; ok {
-			a.Claim = c.unit
-			if now > c.until {
-				delete(e.claims, name)
-				a.Claim = ""
-			}
-		}
-		for _, ms := range w.runs {
-			for _, m := range ms {
-				if !m.unit.job.Steps[m.unit.step].Lasting || m.unit.aborted {
-					a.Runs = append(a.Runs, e.evictable(m, now))
-				}
-			}
-		}
-		f.workers = append(f.workers, a)
-	}
-
-	return f
-}
-
-// busy returns the share of a worker's processors that its tasks want: filling ones
-// besides what they hold of its capacity.
-func (w *worker) busy() float64 {
-	wanted := 0
-	for _, m := range w.all() {
-		wanted += m.unit.job.Steps[m.unit.step].Need.CPU
-		if m.serves() {
-			wanted += w.Room.CPU / servingShare
-		}
-	}
-
-	return float64(wanted) / float64(max(1, w.Room.CPU))
-}
-
-// mostBarred is the share of the workers that may be barred at once: if more fail
-// work, the work is at fault.
-const mostBarred = 0.3
-
-// barred returns the workers that fail what they are given.
-func (e *Engine) barred(now time.Duration) map[string]bool {
-	names := map[string]bool{}
-	for name, w := range e.workers {
-		if w.record.Barred(now) {
-			names[name] = true
-		}
-	}
-	if float64(len(names)) > mostBarred*float64(len(e.workers)) {
-		return nil
-	}
-
-	return names
-}
-
-func (e *Engine) evictable(m *member, now time.Duration) assign.Run {
-	u := m.unit
-	r := assign.Run{Group: u.name, Need: m.need(), Priority: e.rules(u.job.Queue).Priority, Ending: u.aborted || u.done}
-	for _, o := range u.members {
-		r.Lost += o.lost(now)
-	}
-
-	return r
-}
-
-// lost returns the core-seconds that a stop throws away.
-func (m *member) lost(now time.Duration) float64 {
-	if m.began == 0 || m.phase == gone {
-		return 0
-	}
-	need := m.need()
-	cores := float64(need.CPU)/1000 + accelCores*float64(need.Accelerators)
-	if m.unit.job.Steps[m.unit.step].Checkpoints {
-		return cores * 0.1
-	}
-
-	return cores * (now - m.began).Seconds()
-}
-
 // localize fills in what a unit's place depends on.
 func (e *Engine) localize(c *candidate, f *fleet) {
 	if len(c.job.bad) > 0 {
@@ -322,18 +218,6 @@
 	}
 }
 
-// set returns the workers that are keys of m.
-func set[V any](f *fleet, m map[string]V) map[int]bool {
-	in := map[int]bool{}
-	for name := range m {
-		if i, ok := f.index[name]; ok {
-			in[i] = true
-		}
-	}
-
-	return in
-}
-
 // placed counts by worker the tasks of a step that hold capacity there.
 func (e *Engine) placed(c *candidate, f *fleet) map[int]int {
 	n := map[int]int{}
@@ -367,51 +251,6 @@
 	}
 }
 
-// holds reports whether an empty fleet would hold the unit.
-func (f *fleet) holds(u *assign.Unit) bool {
-	if !u.Together {
-		return fits(f, "", u)
-	}
-
-	return slices.ContainsFunc(f.racks(), func(r string) bool { return fits(f, r, u) })
-}
-
-func (f *fleet) racks() []string {
-	var names []string
-	for i := range f.workers {
-		if !slices.Contains(names, f.workers[i].Rack) {
-			names = append(names, f.workers[i].Rack)
-		}
-	}
-
-	return names
-}
-
-// fits reports whether a rack, or all if it has no name, would hold the unit if
-// nothing ran there.
-func fits(f *fleet, rack string, u *assign.Unit) bool {
-	n := 0
-	for i := range f.workers {
-		w := &f.workers[i]
-		if (rack != "" && w.Rack != rack) || w.Service != u.Service || !w.Open || u.Avoid[i] || (u.Label != "" && !slices.Contains(w.Labels, u.Label)) {
-			continue
-		}
-		fit := 0
-		for room := w.Room; u.Need.Fits(room) && fit < len(u.Tasks); fit++ {
-			room = room.Minus(u.Need)
-		}
-		if u.Spread > 0 {
-			fit = min(fit, u.Spread)
-		}
-		n += fit
-	}
-	if u.Gang {
-		return n >= len(u.Tasks)
-	}
-
-	return n > 0
-}
-
 // place makes the placements durable and then sends the starts.
 func (e *Engine) place(cands []candidate, ps []assign.Placement, f *fleet) {
 	made := map[int][]*unit{}
