Send starts a few at a time; keep the planner's lease on strong VMs

Three takeovers of five went to VMs with 0.192 of a core: callers' failed calls woke the electors out of the wait that leaves stronger VMs the lease (4.3 s), a living planner was replaced because its renewal was older than the lease's life when the store had just come back (22.2 s), and a weak planner could not renew (26.8 s).

Changed: starts wait in queues by priority, as many are under way as the VM can carry (160 a core); stops and first reports pass a gate of the same size; a call that times out while the process itself runs late says nothing about the worker (a start is sent again, it is idempotent; a worker isn't taken for silent before half of its lease); the wait for stronger VMs isn't cut short, and rests on what the planner tells of the others' cores; a weak planner hands over to a strong one; a planner that answers isn't replaced before it could renew after an outage.

Ruled out: 'not durable' (324 units) throws nothing away, those runs were never started.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -25,6 +25,7 @@
 	"sesameyoke/internal/run/logs"
 	"sesameyoke/internal/run/metrics"
 	"sesameyoke/internal/run/relay"
+	"sesameyoke/internal/run/timer"
 	"sesameyoke/platform"
 )
 
@@ -46,6 +47,8 @@
 	leaseKeep     = 6 * time.Second // a planner that cannot reach the store acts for so long
 	storeCall     = 700 * time.Millisecond
 	beatEvery     = 400 * time.Millisecond
+	weakBeat      = time.Second            // between the questions of a VM that leaves planning to stronger ones
+	weakDefer     = 700 * time.Millisecond // a renewal and a beat more than stronger VMs need to notice
 	policyWait    = time.Second
 	deferUnit     = 60 * time.Millisecond // that a VM of one core leaves stronger ones to plan
 	deferMost     = 400 * time.Millisecond
@@ -68,6 +71,7 @@
 	metrics *metrics.Set
 	entry   *entry.Entry
 	elector *lead.Elector
+	lag     timer.Lag
 	servers []*http.Server
 }
 
@@ -102,7 +106,7 @@
 }
 
 func newVM(boot platform.Boot, l *plog.Logger) *vm {
-	v := &vm{boot: boot, log: l, metrics: metrics.New()}
+	v := &vm{boot: boot, log: l, metrics: metrics.New(), lag: timer.Lag{Now: sinceBoot}}
 	direct := platform.NewStore(boot.Store)
 	peers := &planner.Client{HTTP: &http.Client{Transport: platform.NewTransport()}}
 	st := relay.New(relay.Config{
@@ -115,9 +119,9 @@
 	follower := &entry.Follower{Operator: platform.NewOperator(direct, waves), Wait: policyWait, Boot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: name, Address: address, Life: leaseLife, Brief: leaseBrief, Renew: leaseRenew, Keep: leaseKeep, Call: storeCall,
-		Beat: beatEvery, Defer: min(deferMost, time.Duration(float64(deferUnit)/max(boot.Cores, minCores))), Boot: sinceBoot, Log: l,
-		Ask:   func(ctx context.Context, h lead.Holder) (lead.Sign, error) { return v.entry.Ask(ctx, h) },
-		Heir:  func() (string, bool) { return v.entry.Heir() },
+		Beat: beatEvery, WeakBeat: weakBeat, WeakDefer: weakDefer, Strength: func() lead.Strength { return v.entry.Strength() }, Defer: min(deferMost, time.Duration(float64(deferUnit)/max(boot.Cores, minCores))), Boot: sinceBoot, Log: l,
+		Ask:  func(ctx context.Context, h lead.Holder) (lead.Sign, error) { return v.entry.Ask(ctx, h) },
+		Heir: func() (string, bool) { return v.entry.Heir() }, Stronger: func() (string, bool) { return v.entry.Stronger() },
 		Offer: peers.Succeed,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
 			v.plan(ctx, v.engineConfig(st, lease, follower, waves))
@@ -138,6 +142,7 @@
 	g := engine.New(c)
 	v.entry.Planning(g)
 	defer v.entry.Planning(nil)
+	go v.lag.Run(ctx)
 	g.Run(ctx)
 }
 
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -23,6 +23,8 @@
 	claimLife     = 1500 * time.Millisecond
 	refusedPause  = time.Second
 	straggle      = 15 * time.Second // orders without an answer have been executed up to 12 s later
+	callsPerCore  = 160              // calls to workers that are made at a time
+	callsLeast    = 24
 )
 
 func (v *vm) engineConfig(st *store.Store, l *lead.Lease, f *entry.Follower, w *platform.Waves) engine.Config {
@@ -37,7 +39,8 @@
 			Restore: v.boot.Restore, HostLease: v.boot.HostLease, Maintenance: v.boot.Upkeep,
 		},
 		Policy: func() *policy.Policy { return f.Policy() },
-		Boot:   sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
+		Calls:  max(callsLeast, int(callsPerCore*v.boot.Cores)), Late: v.lag.Late,
+		Boot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes,
 		Advise:   platform.NewAdvice(v.boot.Advice),
 	}
--- a/internal/peer/planner/client.go
+++ b/internal/peer/planner/client.go
@@ -42,6 +42,8 @@
 		Peers   []string
 		Pending map[string]int32
 		Counted bool // Pending is known
+		// Strongest is the most cores of a VM that may plan next; 0 if none is known.
+		Strongest float64
 	}
 )
 
@@ -71,7 +73,7 @@
 
 	return Standing{
 		Name: r.Name, Plans: r.Plans, Token: r.Token, Age: time.Duration(r.Age) * time.Millisecond, Renewal: r.Renewal,
-		Peers: r.Peers, Pending: r.Pending, Counted: r.Counted,
+		Peers: r.Peers, Pending: r.Pending, Counted: r.Counted, Strongest: r.Strongest,
 	}, nil
 }
 
--- a/internal/peer/planner/server.go
+++ b/internal/peer/planner/server.go
@@ -37,6 +37,7 @@
 
 	return &plannerpb.BeatReply{
 		Plans: st.Plans, Token: st.Token, Age: st.Age.Milliseconds(), Peers: st.Peers, Pending: st.Pending, Counted: st.Counted, Name: st.Name, Renewal: st.Renewal,
+		Strongest: st.Strongest,
 	}, nil
 }
 
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -68,7 +68,9 @@
 		Boot    func() time.Duration  // time since boot, suspension included
 		Now     func() time.Time
 		Log     *log.Logger
-		Name    string // of this VM, with its incarnation
+		Name    string               // of this VM, with its incarnation
+		Calls   int                  // that this VM can carry at a time
+		Late    func() time.Duration // how late this process itself has been of late; nil if that is not known
 		Count   func(name string, n int64)
 		Observe func(name string, d time.Duration)
 
@@ -103,7 +105,9 @@
 		unread     map[string][]byte      // progress of jobs whose own record is not read yet
 		lateStarts map[string][]lateStart // by worker
 		learnt     map[string]*runTime    // by queue
-		advised    map[string]*advice     // by step
+		starts     startQueue
+		calls      gate               // of stops and of reports that workers answer at once
+		advised    map[string]*advice // by step
 		waves      map[int]*wave
 		asking     string // step that is being asked for
 		ready      bool
@@ -160,7 +164,7 @@
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]policy.Queue{}, early: map[string]earlyCancel{}, unread: map[string][]byte{},
 		lateStarts: map[string][]lateStart{}, learnt: map[string]*runTime{}, advised: map[string]*advice{}, waves: map[int]*wave{},
-		kicked: make(chan struct{}, 1),
+		kicked: make(chan struct{}, 1), starts: startQueue{most: c.Calls}, calls: make(gate, c.Calls),
 	}
 	e.writer.init(e)
 
--- a/internal/run/engine/orders.go
+++ b/internal/run/engine/orders.go
@@ -14,26 +14,45 @@
 const (
 	stopPause  = 250 * time.Millisecond // between tries of a stop that got no answer
 	doubtParts = 3                      // after this part of its time a start without an answer is looked for
+	startTries = 3                      // of a start while this VM is slow itself
+	lateFrom   = 100 * time.Millisecond // lateness of this VM from which it is slow itself
 )
 
 // startAnswer is a worker's answer to a start.
 type startAnswer struct {
-	clock int64
-	err   error
+	clock  int64
+	err    error
+	unsent bool // the order was not given
+	again  bool // the order was given more than once, and one of them had no answer
 }
 
-// sendStart gives the order for a planned member. Its assignment is durable.
+// sendStart queues the order for a planned member. Its assignment is durable.
 func (e *Engine) sendStart(m *member) {
-	u, w := m.unit, m.worker
-	if m.phase != planned {
-		return
-	}
-	if u.aborted || !w.reached {
-		e.release(m)
+	e.starts.push(m, e.rules(m.unit.job.Queue).Priority)
+	e.sendStarts()
+}
 
-		return
+// sendStarts sends as many of the queued starts as may be on their way.
+func (e *Engine) sendStarts() {
+	if !e.Lease.Valid() {
+		return // the next pass looks again
+	}
+	for m := e.starts.pop(); m != nil; m = e.starts.pop() {
+		switch {
+		case m.phase != planned:
+		case m.unit.aborted || !m.worker.reached:
+			e.release(m)
+		default:
+			e.sendOne(m)
+		}
 	}
+}
+
+// sendOne gives the order for a planned member.
+func (e *Engine) sendOne(m *member) {
+	u, w := m.unit, m.worker
 	m.phase = starting
+	e.starts.sent++
 	order := target.Start{
 		Task: m.task(), Run: u.run, Spec: u.job.Spec, Token: e.Lease.Token, Saved: m.from, Ticket: m.ticket,
 		Deadline: w.extend(e.Boot(), e.Timing.Lease),
@@ -41,30 +60,64 @@
 	to := w.address()
 	e.session.Go(func() {
 		if !e.Lease.Valid() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.started(m, 0, errors.Wrap(target.ErrRefused, "lease has expired"))
+			e.answered(m, startAnswer{unsent: true})
 
 			return
 		}
 		sent := e.Boot()
-		clock, err := e.start(to, order)
-		e.mu.Lock()
-		defer e.mu.Unlock()
+		a := e.start(to, order)
 		e.Observe("start_seconds", e.Boot()-sent)
-		e.started(m, clock, err)
+		e.answered(m, a)
 	})
 }
 
-// start gives an order. One whose answer is late or lost counts as carried out if
-// the worker lists the run.
-func (e *Engine) start(to target.Address, order target.Start) (int64, error) {
+// answered takes in the answer to a start, and sends the next ones.
+func (e *Engine) answered(m *member, a startAnswer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts.sent--
+	switch {
+	case a.unsent:
+		m.phase = planned
+		if m.unit.aborted {
+			e.release(m)
+		} else {
+			e.starts.push(m, e.rules(m.unit.job.Queue).Priority)
+		}
+	case a.again:
+		e.rememberLate(m)
+		fallthrough
+	default:
+		e.started(m, a.clock, a.err)
+	}
+	e.sendStarts()
+}
+
+// start gives an order, again if this VM was too slow to see the answer: a worker
+// carries an order out once.
+func (e *Engine) start(to target.Address, order target.Start) startAnswer {
+	var a startAnswer
+	for range startTries {
+		again := a.err != nil
+		a = e.tryStart(to, order)
+		a.again = again
+		if !errors.Is(a.err, target.ErrUnknown) || !e.late() || !e.Lease.Valid() {
+			break
+		}
+	}
+
+	return a
+}
+
+// tryStart gives an order once. One whose answer is late or lost counts as carried
+// out if the worker lists the run.
+func (e *Engine) tryStart(to target.Address, order target.Start) startAnswer {
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Start)
 	defer cancel()
 	answers := make(chan startAnswer, 1)
 	e.session.Go(func() {
 		clock, err := e.Workers.Start(ctx, to, order)
-		answers <- startAnswer{clock, err}
+		answers <- startAnswer{clock: clock, err: err}
 	})
 	doubt := time.NewTimer(e.Timing.Start / doubtParts)
 	defer doubt.Stop()
@@ -73,19 +126,23 @@
 	case a = <-answers:
 	case <-doubt.C:
 		if clock, ok := e.lists(to, order); ok {
-			return clock, nil
+			return startAnswer{clock: clock}
 		}
 		a = <-answers
 	}
 	if errors.Is(a.err, target.ErrUnknown) {
 		if clock, ok := e.lists(to, order); ok {
-			return clock, nil
+			return startAnswer{clock: clock}
 		}
 	}
 
-	return a.clock, a.err
+	return a
 }
 
+// late reports whether this VM itself has been so slow of late that a call without an
+// answer says nothing about a worker.
+func (e *Engine) late() bool { return e.Late != nil && e.Late() >= lateFrom }
+
 // lists asks a worker whether a run is there, and for its clock.
 func (e *Engine) lists(to target.Address, order target.Start) (int64, bool) {
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Start)
@@ -185,6 +242,10 @@
 
 // tryStop reports whether the stop needs no other try.
 func (e *Engine) tryStop(m *member, to target.Address, born int64, order target.Stop, first bool) bool {
+	if !e.calls.enter(e.ctx.Done()) {
+		return true
+	}
+	defer e.calls.leave()
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.Call)
 	defer cancel()
 	clock, err := e.Workers.Stop(ctx, to, order)
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -31,6 +31,7 @@
 		return
 	}
 	began := e.Now()
+	e.sendStarts()
 	e.settle()
 	e.review()
 	e.dueOccurrences()
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,7 +28,11 @@
 	"sesameyoke/internal/standin/fleet"
 )
 
-const submitPatience = 2 * time.Second
+const (
+	submitPatience = 2 * time.Second
+	fullCores      = 1.0
+	callsPerCore   = 80
+)
 
 type (
 	// rig is a few VMs over the emulated platform, on the clock of a bubble.
@@ -42,6 +48,7 @@
 		log    *log.Logger
 		life   int
 
+		cores    map[string]float64 // of VMs that have not fullCores
 		accepted map[string]bool
 		end      context.CancelFunc // of the workers
 		broken   breakage
@@ -50,6 +57,7 @@
 	// vm runs an elector, and an engine while it plans.
 	vm struct {
 		name    string
+		cores   float64
 		elector *lead.Elector
 		engine  atomic.Pointer[engine.Engine]
 		stop    context.CancelFunc
@@ -60,7 +68,7 @@
 )
 
 func newRig(t *testing.T, seed uint64) *rig {
-	r := &rig{t: t, rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, epoch: time.Now(), accepted: map[string]bool{}}
+	r := &rig{t: t, rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, epoch: time.Now(), accepted: map[string]bool{}, cores: map[string]float64{}}
 	r.store = fleet.NewStore(r.roll)
 	r.fleet = fleet.NewFleet(r.roll)
 	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 2 * time.Second, target.Done }
@@ -98,7 +106,8 @@
 // start begins a life of a VM.
 func (r *rig) start(name string) {
 	r.life++
-	v := &vm{name: fmt.Sprintf("%s/%d", name, r.life), done: make(chan struct{})}
+	v := &vm{name: fmt.Sprintf("%s/%d", name, r.life), cores: r.coresOf(name), done: make(chan struct{})}
+	cpu := &processor{call: time.Duration(float64(callCost) / v.cores)}
 	gate := func() {
 		if c := v.frozen.Load(); c != nil {
 			<-*c
@@ -108,14 +117,21 @@
 		Direct: r.store.For(name, gate), Peers: func() []string { return r.others(name) }, Via: func(to string) *store.Store { return r.through(v, to) }, Boot: r.boot, Log: r.log,
 	})
 	workers := r.fleet.For(name, gate)
+	if v.cores < fullCores {
+		workers = cpu.client(workers)
+	}
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: v.name, Address: name, Life: 1200 * time.Millisecond, Brief: 800 * time.Millisecond, Renew: 400 * time.Millisecond, Keep: 6 * time.Second,
 		Call: 700 * time.Millisecond, Beat: 400 * time.Millisecond, Boot: r.boot, Log: r.log,
 		Ask:   r.ask,
-		Heir:  func() (string, bool) { return r.heir(name) },
+		Defer: time.Duration(float64(60*time.Millisecond) / v.cores), WeakBeat: time.Second, WeakDefer: 700 * time.Millisecond,
+		Strength: func() lead.Strength { return r.strength(v) },
+		Heir:     func() (string, bool) { return r.heir(name) }, Stronger: func() (string, bool) { return r.stronger(v) },
 		Offer: r.offer,
 		Plan: func(ctx context.Context, l *lead.Lease) {
-			g := engine.New(r.config(st, workers, l))
+			c := r.config(st, workers, l)
+			c.Calls, c.Late = int(callsPerCore*v.cores), cpu.late
+			g := engine.New(c)
 			v.engine.Store(g)
 			g.Run(ctx)
 			v.engine.Store(nil)
@@ -150,14 +166,41 @@
 	return c
 }
 
-// heir names another VM that runs.
+// heir names the strongest of the other VMs that run.
 func (r *rig) heir(name string) (string, bool) {
 	all := r.others(name)
 	if len(all) == 0 {
 		return "", false
 	}
 
-	return all[0], true
+	return slices.MaxFunc(all, func(a, b string) int { return cmp.Compare(r.coresOf(a), r.coresOf(b)) }), true
+}
+
+// stronger names a VM that should plan in place of another one.
+func (r *rig) stronger(v *vm) (string, bool) {
+	to, ok := r.heir(strings.Split(v.name, "/")[0])
+
+	return to, ok && r.coresOf(to) > v.cores
+}
+
+// strength compares a VM with the others that run.
+func (r *rig) strength(v *vm) lead.Strength {
+	if _, ok := r.stronger(v); ok {
+		return lead.Weak
+	}
+
+	return lead.Strong
+}
+
+// coresOf returns the processor cores of a VM.
+func (r *rig) coresOf(name string) float64 {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	if c, ok := r.cores[name]; ok {
+		return c
+	}
+
+	return fullCores
 }
 
 // offer stands for the offer of a lease to another VM.
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -47,6 +48,7 @@
 		r.addWorkers(t, d)
 	case "vm":
 		for _, a := range d.CmdArgs {
+			r.setCores(t, a)
 			r.start(a.Key)
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -114,6 +116,10 @@
 		r.worker(t, name, d.CmdArgs[1].Key)
 	case "runs":
 		return r.runs(name)
+	case "again":
+		return r.again(name)
+	case "plans":
+		return r.plans()
 	case "faults":
 		return strings.Join(r.fleet.Check(), "\n")
 	default:
@@ -243,6 +249,44 @@
 	}
 }
 
+// setCores gives a VM the cores that an argument names.
+func (r *rig) setCores(t *testing.T, a datadriven.CmdArg) {
+	if len(a.Vals) == 0 {
+		return
+	}
+	cores, err := strconv.ParseFloat(a.Vals[0], 64)
+	require.NoError(t, err)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.cores[a.Key] = cores
+}
+
+// again counts a job's runs that worked, and those of them that were thrown away.
+func (r *rig) again(id string) string {
+	runs, lost := 0, 0
+	for _, e := range r.fleet.Entries() {
+		if e.Task.Job != id {
+			continue
+		}
+		runs++
+		if !e.To.IsZero() && e.How != target.Done {
+			lost++
+		}
+	}
+
+	return fmt.Sprintf("%d runs, %d thrown away", runs, lost)
+}
+
+// plans names the planner and its token.
+func (r *rig) plans() string {
+	name, _ := r.planner()
+	if name == "" {
+		return "no planner"
+	}
+
+	return fmt.Sprintf("%s under token %d", name, r.get(name).elector.Lease().Token)
+}
+
 // runs lists the runs of a job: task, run and how it ended.
 func (r *rig) runs(id string) string {
 	var lines []string
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -17,6 +17,8 @@
 	holdBusy   = 700 * time.Millisecond // between reports while ends wait to be durable
 	unreadFor  = 5 * time.Second        // after taking over, the runs of a job that is still to be read go on
 	settleHold = 20 * time.Millisecond  // wait of a report that settles an order
+
+	excuseParts = 2 // a worker is not taken for silent before this part of its lease, while this VM is slow itself
 )
 
 // attend starts the session with a worker.
@@ -97,6 +99,12 @@
 }
 
 func (e *Engine) hold(w *worker, to target.Address, h target.Hold) {
+	if h.Wait == 0 {
+		if !e.calls.enter(e.ctx.Done()) {
+			return
+		}
+		defer e.calls.leave()
+	}
 	ctx, cancel := context.WithTimeout(e.ctx, h.Wait+holdSlack)
 	defer cancel()
 	sent := e.Boot()
@@ -128,6 +136,11 @@
 
 		return
 	}
+	if e.late() && w.reached && w.silent == 0 && e.Boot() < w.clockAt+e.Timing.Lease/excuseParts {
+		e.Count("reports_late", 1) // this VM is slow itself: the worker is asked again
+
+		return
+	}
 	if w.silent == 0 {
 		w.silent = sent
 		e.Log.Warn().Str("event", "worker-lost").Str("worker", w.ID).Err(err).Int("runs", len(w.runs)).Msg("")
--- /dev/null
+++ b/internal/run/engine/strongest_test.go
@@ -0,0 +1,47 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const strongestSeeds = 20
+
+// TestStrongest kills a planner while callers' calls to it fail on all VMs, which
+// makes every elector look at the lease at once: a strong VM must take it all the
+// same.
+func TestStrongest(t *testing.T) {
+	for seed := range uint64(strongestSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, seed)
+			defer r.stop()
+			for i := range 8 {
+				r.cores[fmt.Sprintf("weak%d", i)] = 0.2
+			}
+			r.start("strong0")
+			time.Sleep(time.Second)
+			r.start("strong1")
+			for i := range 8 {
+				r.start(fmt.Sprintf("weak%d", i))
+				time.Sleep(time.Duration(r.roll() * float64(100*time.Millisecond)))
+			}
+			time.Sleep(time.Second)
+			_, before := r.planner()
+			r.kill("strong0")
+			for range 400 {
+				for _, v := range r.running() {
+					v.elector.Hear()
+				}
+				time.Sleep(10 * time.Millisecond)
+				if r.plansAnew(before) {
+					break
+				}
+			}
+			require.Equal(t, "strong1 under token 2", r.plans(), "seed %d", seed)
+		})
+	}
+}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -56,9 +56,10 @@
 	Entry struct {
 		Config
 
-		engine  atomic.Pointer[engine.Engine]
-		pending atomic.Pointer[pendingCount]
-		leaving atomic.Bool
+		engine    atomic.Pointer[engine.Engine]
+		pending   atomic.Pointer[pendingCount]
+		leaving   atomic.Bool
+		strongest atomic.Uint64 // most cores of a VM that may plan next, as float bits
 
 		mu    sync.Mutex
 		peers map[string]peer // by address
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	peerLife  = 10 * time.Second        // a VM that has not been heard of for so long is forgotten
 	heirHeard = 1200 * time.Millisecond // a VM that has not asked for so long is not offered the lease
 	heirCores = 0.75                    // of the strongest VM's cores that a planner should have
+	moveCores = 1.5                     // a VM with so many times this one's cores plans in its place
 )
 
 // peer is another VM.
@@ -42,6 +44,7 @@
 	case !st.Plans || st.Token != h.Token:
 		return lead.Sign{}, errors.Errorf("VM %q does not plan under token %d", h.Name, h.Token)
 	}
+	e.strongest.Store(math.Float64bits(st.Strongest))
 	now := e.Boot()
 	if st.Counted {
 		e.pending.Store(&pendingCount{byQueue: st.Pending, at: now})
@@ -86,9 +89,10 @@
 	}
 	n, ok := g.Pending()
 	age, renewal := l.Renewed()
+	_, strongest := e.heir()
 
 	return planner.Standing{
-		Name: e.Name, Plans: true, Token: l.Token, Age: age, Renewal: renewal, Peers: append(peers, e.Address), Pending: n, Counted: ok,
+		Strongest: strongest, Name: e.Name, Plans: true, Token: l.Token, Age: age, Renewal: renewal, Peers: append(peers, e.Address), Pending: n, Counted: ok,
 	}
 }
 
@@ -134,26 +138,54 @@
 	return context.WithTimeout(ctx, max(wait-answerSlack, wait/2))
 }
 
+// Strength compares this VM with the strongest one that the planner knows of.
+func (e *Entry) Strength() lead.Strength {
+	strongest := math.Float64frombits(e.strongest.Load())
+	switch {
+	case strongest == 0:
+		return lead.Unknown
+	case e.Cores < heirCores*strongest:
+		return lead.Weak
+	}
+
+	return lead.Strong
+}
+
 // Heir returns the VM that may best plan next: a strong one that asks for this
 // VM's standing, and that has begun last, since restarts in turn come to it last.
 func (e *Entry) Heir() (string, bool) {
+	to, _ := e.heir()
+
+	return to, to != ""
+}
+
+// Stronger returns the heir if it is so much stronger than this VM that it should
+// plan at once.
+func (e *Entry) Stronger() (string, bool) {
+	to, cores := e.heir()
+
+	return to, to != "" && cores >= moveCores*e.Cores
+}
+
+// heir returns the VM that may best plan next, with its cores.
+func (e *Entry) heir() (address string, cores float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Boot()
 	strong := 0.0
-	for _, v := range e.peers {
-		if v.fit(now) {
+	for a, v := range e.peers {
+		if v.fit(now) && a != e.Address {
 			strong = max(strong, v.Cores)
 		}
 	}
-	best, born := "", int64(0)
+	born := int64(0)
 	for a, v := range e.peers {
 		if v.fit(now) && a != e.Address && v.Cores >= heirCores*strong && v.Born > born {
-			best, born = a, v.Born
+			address, cores, born = a, v.Cores, v.Born
 		}
 	}
 
-	return best, best != ""
+	return address, cores
 }
 
 // fit reports whether a VM may plan next.
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -27,6 +27,13 @@
 	key   = "planner"
 )
 
+// Strengths of a VM.
+const (
+	Unknown Strength = iota
+	Weak             // stronger VMs may plan
+	Strong
+)
+
 type (
 	// Holder is the content of the lease's record.
 	Holder struct {
@@ -44,25 +51,34 @@
 		Renewal int64         // its number
 	}
 
+	// Strength compares a VM with the others.
+	Strength int
+
 	// Config of an Elector.
 	Config struct {
-		Store   *store.Store
-		Name    string
-		Address string
-		Life    time.Duration        // after which an unchanged lease may be taken
-		Brief   time.Duration        // the same, if nothing listens at the holder's address
-		Renew   time.Duration        // between renewals
-		Keep    time.Duration        // a holder acts for so long after its newest renewal
-		Call    time.Duration        // bound of one call to the store
-		Beat    time.Duration        // between questions to the planner
-		Defer   time.Duration        // weak VMs wait so long before they take a free lease
-		Boot    func() time.Duration // time since boot, suspension included
-		Log     *log.Logger
+		Store     *store.Store
+		Name      string
+		Address   string
+		Life      time.Duration        // after which an unchanged lease may be taken
+		Brief     time.Duration        // the same, if nothing listens at the holder's address
+		Renew     time.Duration        // between renewals
+		Keep      time.Duration        // a holder acts for so long after its newest renewal
+		Call      time.Duration        // bound of one call to the store
+		Beat      time.Duration        // between questions to the planner, and bound of one
+		WeakBeat  time.Duration        // the same between those of a VM that knows of stronger ones
+		Defer     time.Duration        // waited before a free lease is taken, while the other VMs' strength is not known
+		WeakDefer time.Duration        // waited by a VM that knows of stronger ones
+		Boot      func() time.Duration // time since boot, suspension included
+		Log       *log.Logger
 
 		// Ask asks the holder's VM for a sign of the planner.
 		Ask func(ctx context.Context, h Holder) (Sign, error)
+		// Strength tells how this VM compares with those that may plan; nil if unknown.
+		Strength func() Strength
 		// Heir returns the VM that may best plan next.
 		Heir func() (address string, ok bool)
+		// Stronger returns a VM that should plan in place of this one; nil if none ever should.
+		Stronger func() (address string, ok bool)
 		// Offer offers the lease to a VM and reports whether it has taken it.
 		Offer func(ctx context.Context, address string, token, end int64) (bool, error)
 		// Plan runs the planner until its context ends or the lease is lost.
@@ -73,20 +89,22 @@
 	Elector struct {
 		Config
 
-		mu      sync.Mutex
-		holder  Holder
-		known   bool
-		end     int64         // offset after the newest record
-		since   time.Duration // the record has been seen unchanged since
-		sound   bool          // the newest reading succeeded
-		sign    Sign          // the holder's newest one
-		signed  time.Duration // the renewal that it names was made at
-		life    time.Duration // after which the holder's unchanged lease may be taken
-		missed  time.Duration // the holder's VM gave no answer at; 0 if it answered last
-		lease   *Lease
-		leaving bool
-		offer   *offer
-		wake    chan struct{}
+		mu       sync.Mutex
+		holder   Holder
+		known    bool
+		end      int64         // offset after the newest record
+		since    time.Duration // the record has been seen unchanged since
+		sound    bool          // the newest reading succeeded
+		regained time.Duration // readings have succeeded since
+		sign     Sign          // the holder's newest one
+		signed   time.Duration // the renewal that it names was made at
+		life     time.Duration // after which the holder's unchanged lease may be taken
+		missed   time.Duration // the holder's VM gave no answer at; 0 if it answered last
+		lease    *Lease
+		leaving  bool
+		offer    *offer
+		moved    time.Duration // the lease was last offered to a stronger VM at
+		wake     chan struct{}
 	}
 
 	// Lease is held by this VM.
@@ -155,7 +173,7 @@
 			continue
 		}
 		if e.followed(ctx) {
-			e.sleep(ctx, e.Beat)
+			e.sleep(ctx, e.beat())
 
 			continue
 		}
@@ -164,8 +182,8 @@
 
 			continue
 		}
-		if e.Defer > 0 && e.free() {
-			e.sleep(ctx, e.Defer)
+		if wait := e.deferral(); wait > 0 && e.free() {
+			e.giveWay(ctx, wait)
 			if err := e.observe(ctx); err != nil {
 				continue
 			}
@@ -179,6 +197,45 @@
 	}
 }
 
+func (e *Elector) strength() Strength {
+	if e.Strength == nil {
+		return Unknown
+	}
+
+	return e.Strength()
+}
+
+// beat returns the time between questions to the planner: only VMs that may take its
+// lease soon need to know at once that it is gone.
+func (e *Elector) beat() time.Duration {
+	if e.strength() == Weak {
+		return e.WeakBeat
+	}
+
+	return e.Beat
+}
+
+// deferral returns how long stronger VMs are left to take a free lease.
+func (e *Elector) deferral() time.Duration {
+	switch e.strength() {
+	case Weak:
+		return e.WeakDefer
+	case Strong:
+		return 0
+	}
+
+	return e.Defer
+}
+
+// giveWay leaves stronger VMs the time to take a free lease. Calls that the planner
+// does not answer wake the elector, but do not shorten it; an offer does.
+func (e *Elector) giveWay(ctx context.Context, wait time.Duration) {
+	until := e.Boot() + wait
+	for left := wait; left > 0 && ctx.Err() == nil && !e.offered(); left = until - e.Boot() {
+		e.sleep(ctx, left)
+	}
+}
+
 // followed reports whether the known holder answers and renews.
 func (e *Elector) followed(ctx context.Context) bool {
 	h, ok := e.Holder()
@@ -222,6 +279,9 @@
 
 		return err
 	}
+	if !e.sound {
+		e.regained = e.Boot()
+	}
 	if !e.sound || end != e.end || !e.known {
 		e.since = e.Boot()
 	}
@@ -246,6 +306,9 @@
 	}
 	if e.signed != 0 && e.sign.Renewal == e.holder.Renewal {
 		e.since = min(e.since, e.signed) // the holder itself has told when it renewed
+		if e.missed == 0 {
+			e.since = max(e.since, e.regained) // it answers, and nobody could renew before
+		}
 	}
 
 	return nil
@@ -331,7 +394,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if !e.renew(ctx, l) {
+		if e.moveOn(ctx, l) || !e.renew(ctx, l) {
 			l.Lose()
 		}
 	}
--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -1,6 +1,14 @@
 package lead
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// moveRest is the time between two offers of a lease to stronger VMs.
+const moveRest = 2 * time.Second
 
 // offer is the lease of a planner that leaves.
 type offer struct {
@@ -18,7 +26,7 @@
 		return
 	}
 	l.Lose()
-	if e.handOver(ctx, h, end) {
+	if to, ok := e.Heir(); ok && e.handOver(ctx, to, h, end) == nil {
 		return
 	}
 	h.Released = true
@@ -27,18 +35,52 @@
 	}
 }
 
-// handOver reports whether another VM has taken the lease over.
-func (e *Elector) handOver(ctx context.Context, h Holder, end int64) bool {
-	to, ok := e.Heir()
-	if !ok {
-		return false
-	}
+// errNotTaken means that another VM has refused the lease.
+var errNotTaken = errors.New("lease was not taken")
+
+// handOver has another VM take the lease over. It returns errNotTaken if that VM did
+// not, and another error if that is not known.
+func (e *Elector) handOver(ctx context.Context, to string, h Holder, end int64) error {
 	ctx, cancel := context.WithTimeout(ctx, e.Call)
 	defer cancel()
 	taken, err := e.Offer(ctx, to, h.Token, end)
 	e.Log.Info().Str("event", "lease-offered").Str("peer", to).Bool("taken", taken).Err(err).Int64("token", h.Token).Msg("")
+	if err == nil && !taken {
+		return errNotTaken
+	}
+
+	return err
+}
+
+// moveOn reports whether a stronger VM has taken the lease over. No order is given
+// while that is not known.
+func (e *Elector) moveOn(ctx context.Context, l *Lease) bool {
+	if e.Stronger == nil || e.Boot() < e.moved+moveRest {
+		return false
+	}
+	to, ok := e.Stronger()
+	if !ok {
+		return false
+	}
+	e.moved = e.Boot()
+	e.mu.Lock()
+	h, end := e.holder, e.end
+	e.mu.Unlock()
+	until := l.until.Swap(0)
+	err := e.handOver(ctx, to, h, end)
+	if errors.Is(err, errNotTaken) {
+		l.until.Store(until)
+	}
+
+	return err == nil
+}
+
+// offered reports whether a lease waits to be accepted.
+func (e *Elector) offered() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 
-	return taken
+	return e.offer != nil
 }
 
 // Offered takes the lease of a planner that leaves, and reports whether it did.
