Judge a worker slow by the runs of different jobs only

Runs of a step are now compared with that step's other runs; against the queue's mean only the runs of two jobs or more count.

--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -37,6 +37,15 @@
 	Usual struct {
 		Length time.Duration
 		Sure   bool // known from equal work, not only from its kind
+		Peers  bool // known from the same job's other runs
+	}
+
+	// Evidence is what one run tells of its worker's speed.
+	Evidence struct {
+		Job    string
+		Factor float64 // by which it takes longer than usual
+		Sure   bool
+		Peers  bool // its usual length is that of the same job's runs
 	}
 
 	// Run is what a move of a run depends on.
@@ -111,18 +120,20 @@
 }
 
 // Slowness returns how much longer than usual a worker's runs take, 1 if that is
-// not known or not much. Runs that may just be long count if all of them are slow.
-func Slowness(factors []float64, sure []bool) float64 {
-	least, most := 0.0, 1.0
-	for i, f := range factors {
-		if sure[i] {
-			most = max(most, f)
+// not known or not much. Runs that may just be long count if all of them are slow and
+// they do not all belong to one job, which may be a long one.
+func Slowness(runs []Evidence) float64 {
+	least, most, others := 0.0, 1.0, false
+	for i, r := range runs {
+		if r.Sure {
+			most = max(most, r.Factor)
 		}
-		if i == 0 || f < least {
-			least = f
+		if i == 0 || r.Factor < least {
+			least = r.Factor
 		}
+		others = others || r.Job != runs[0].Job || (i > 0 && r.Peers)
 	}
-	if most == 1 && len(factors) > 1 && least >= slowFactor {
+	if most == 1 && others && least >= slowFactor {
 		return least
 	}
 
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -87,18 +87,19 @@
 
 // worker judges a worker by its runs, all of the same usual length.
 func worker(t *testing.T, d *datadriven.TestData, tracks map[string]*watch.Track) string {
-	var (
-		factors []float64
-		sure    []bool
-	)
+	var runs []watch.Evidence
 	for _, a := range d.CmdArgs {
 		if k := tracks[a.Key]; k != nil {
 			f, s := k.Slow(watch.Usual{Length: duration(t, d, "usual", 0)})
-			factors, sure = append(factors, f), append(sure, s)
+			e := watch.Evidence{Job: a.Key, Factor: f, Sure: s, Peers: d.HasArg("peers")}
+			if d.HasArg("onejob") {
+				e.Job = "one"
+			}
+			runs = append(runs, e)
 		}
 	}
 
-	return fmt.Sprintf("%.1f", watch.Slowness(factors, sure))
+	return fmt.Sprintf("%.1f", watch.Slowness(runs))
 }
 
 // ends takes in how runs end, one a line with its time, and shows the record after each.
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -101,10 +101,11 @@
 		units      map[string]*unit // runs in being, by name
 		claims     map[string]claim // by worker
 		queues     map[string]policy.Queue
-		early      map[string]earlyCancel // cancellations of jobs that are not known
-		unread     map[string][]byte      // progress of jobs whose own record is not read yet
-		lateStarts map[string][]lateStart // by worker
-		learnt     map[string]*runTime    // by queue
+		early      map[string]earlyCancel      // cancellations of jobs that are not known
+		unread     map[string][]byte           // progress of jobs whose own record is not read yet
+		lateStarts map[string][]lateStart      // by worker
+		learnt     map[string]*runTime         // by queue
+		peers      map[stepKey][]time.Duration // expected run times of a step's runs, by step
 		starts     startQueue
 		calls      gate               // of stops and of reports that workers answer at once
 		advised    map[string]*advice // by step
--- a/internal/run/engine/progress.go
+++ b/internal/run/engine/progress.go
@@ -16,6 +16,7 @@
 	slowRest     = 5 * time.Second        // a worker is taken for slow for so long after a slow run
 	gangWeight   = 0.3                    // of the newest gang in a worker's speed: its members do equal work
 	soloWeight   = 0.2                    // of the newest single run, against the others of its step
+	mostlyEqual  = 4                      // runs of a step from which their median is a usual run time
 	minPeers     = 2                      // runs that a comparison needs
 	speedBound   = 4.0                    // and its inverse bound a worker's speed
 	restoreSlack = 500 * time.Millisecond // a checkpoint is restored so long after the announced time at most
@@ -26,6 +27,12 @@
 	// stepOf names a step of one occurrence.
 	stepOf struct{ occur, step int }
 
+	// stepKey names a step of one occurrence of a job.
+	stepKey struct {
+		job *job
+		stepOf
+	}
+
 	// tally is the run times of tasks that are done, in seconds on a usual worker.
 	tally struct {
 		sum float64
@@ -60,10 +67,7 @@
 // judgeWorker takes in what a report tells of a worker's condition.
 func (e *Engine) judgeWorker(w *worker) {
 	still, moving := 0, 0
-	var (
-		factors []float64
-		sure    []bool
-	)
+	var runs []watch.Evidence
 	for _, m := range w.all() {
 		if m.phase != running || !m.tracked || m.unit.orphan || m.fills() || m.unit.job.Steps[m.unit.step].Lasting {
 			continue
@@ -74,8 +78,9 @@
 			still++
 		case m.track.Known():
 			moving++
-			f, s := m.track.Slow(u)
-			factors, sure = append(factors, f), append(sure, s)
+			r := watch.Evidence{Job: m.unit.job.ID, Peers: u.Peers}
+			r.Factor, r.Sure = m.track.Slow(u)
+			runs = append(runs, r)
 		}
 	}
 	now := e.Boot()
@@ -84,7 +89,7 @@
 	} else if moving > 0 {
 		w.stillUntil = 0
 	}
-	if slow := watch.Slowness(factors, sure); slow > 1 {
+	if slow := watch.Slowness(runs); slow > 1 {
 		e.noteSlow(w, slow, now)
 	} else if moving > 0 {
 		w.slowUntil = 0
@@ -106,7 +111,7 @@
 }
 
 // usual returns the usual run time of a member's task: that of its gang, which
-// does equal work, or of its queue.
+// does equal work, of its step's other tasks, or of its queue.
 func (e *Engine) usual(m *member) watch.Usual {
 	var mates []time.Duration
 	for _, o := range m.unit.members {
@@ -119,6 +124,9 @@
 
 		return watch.Usual{Length: mates[len(mates)/2], Sure: true}
 	}
+	if l := e.peers[m.unit.stepKey()]; len(l) >= mostlyEqual {
+		return watch.Usual{Length: l[len(l)/2], Peers: true}
+	}
 	if l := e.learnt[m.unit.job.Queue]; l != nil && l.runs >= learnFrom {
 		return watch.Usual{Length: e.runOf(m.unit.job, m.unit.step)}
 	}
@@ -126,6 +134,27 @@
 	return watch.Usual{} // declared run times are too far off to judge a worker by
 }
 
+func (u *unit) stepKey() stepKey { return stepKey{u.job, stepOf{u.occur, u.step}} }
+
+// comparePeers collects the run times that the runs of each step are on course for,
+// the shortest first.
+func (e *Engine) comparePeers() {
+	e.peers = map[stepKey][]time.Duration{}
+	for _, u := range e.units {
+		st := &u.job.Steps[u.step]
+		if st.Gang || st.Lasting || st.Fills || st.Count < mostlyEqual || len(u.members) == 0 {
+			continue
+		}
+		if l := u.members[0].track.Length(); l > 0 {
+			key := u.stepKey()
+			e.peers[key] = append(e.peers[key], l)
+		}
+	}
+	for _, l := range e.peers {
+		slices.Sort(l)
+	}
+}
+
 // slowness is how much longer than usual a worker takes.
 func (w *worker) slowness(now time.Duration) float64 {
 	if now < w.slowUntil {
@@ -175,6 +204,7 @@
 		return
 	}
 	e.reviewed = now
+	e.comparePeers()
 	e.copySlow()
 	var f *fleet
 	seen := map[*unit]bool{}
