Replay loads through the planner in simulated time

Reports are not brought up to date by every poll any more, which made large fleets of the emulator quadratic.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED    ?= 1
 PROTOS   = internal/peer/entry/entrypb/entry.proto internal/peer/planner/plannerpb/planner.proto
 
-.PHONY: build demo test lint format generate model bench fuzz capacity tools count soak sequences
+.PHONY: build demo test lint format generate model bench fuzz capacity tools count soak sequences replay
 
 build:
 	go build -o bin/ ./cmd/...
@@ -72,3 +72,9 @@
 # faults pauses, kills and replaces real processes.
 faults: build
 	./scripts/faults.sh
+
+# replay plays the loads of testdata/loads through the planner in simulated time, and
+# prints what each earns: make replay SEEDS=24
+SEEDS ?= 24
+replay:
+	SESAMEYOKE_FIGURES=1 SESAMEYOKE_SEEDS=$(SEEDS) go test -count=1 -run TestReplay -v ./internal/run/engine | grep '^load='
--- /dev/null
+++ b/internal/run/engine/replay_test.go
@@ -0,0 +1,424 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/yaml.v3"
+
+	"sesameyoke/internal/core/policy"
+	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/target"
+)
+
+const (
+	replaySeeds = 1                // of each load in a plain test; SESAMEYOKE_SEEDS sets another number
+	replayRest  = 25 * time.Second // after the last arrival
+	accelCores  = 8                // an accelerator counts as so many cores
+	lateTimes   = 3                // a job earns something until so many times its objective
+	baseCredit  = 0.3              // of a job's worth, whatever its size
+	mostCredit  = 4.0              // times a kind's worth that a job's is at most
+)
+
+type (
+	// load is a pattern of arrivals and of trouble at the workers.
+	load struct {
+		Workers    int
+		Rack       int // workers a rack
+		CPU        int
+		Memory     int
+		Seconds    float64
+		Workspaces int
+		Guaranteed int // accelerators of each workspace
+		Kinds      []kind
+		Troubles   []trouble
+		Worth      float64 // least share of the credit that must be earned
+		Wasted     float64 // largest share of the workers' capacity that may be thrown away
+	}
+
+	// kind is a kind of job.
+	kind struct {
+		Name         string
+		Rate         float64 // jobs a second
+		Filled       int     // jobs that come 4 s before the others
+		Width        float64 // mean number of tasks, exponential tail
+		Most         int     // tasks
+		CPU          int
+		Memory       int
+		Accelerators []int
+		Length       float64 // mean run time, seconds
+		Spread       float64 // of the jobs' run times, as that of a logarithm
+		Uneven       float64 // the same among a job's tasks
+		Off          float64 // the same of the estimates
+		Gang         float64 // share of the jobs
+		Together     float64 // share of the gangs
+		Saves        float64 // share of the jobs that keep checkpoints
+		Poison       float64 // share of the jobs that never succeed
+		Cancel       float64 // share of the jobs that are cancelled
+		Priority     int
+		Stretch      float64
+		Target       time.Duration
+		Worth        float64
+		Late         float64 // worth when late
+	}
+
+	// trouble is a disturbance.
+	trouble struct {
+		Kind  string  // burst, slow, leave, cut, silent, late, planner
+		At    float64 // seconds
+		For   float64
+		Share float64 // of the workers, or of the orders
+		Times float64 // by how much more a kind arrives, or longer a run takes
+		Of    string  // kind of job
+	}
+
+	// arrival is one job with what it takes.
+	arrival struct {
+		work.Job
+
+		kind    *kind
+		lengths []float64 // seconds, by task
+		poison  bool
+		cancel  float64 // seconds after arrival; 0 for never
+		done    time.Duration
+		sent    time.Duration
+	}
+
+	// outcome is what a load has earned.
+	outcome struct {
+		owed, earned map[string]float64 // by kind
+		wasted       float64            // core-seconds that were thrown away
+		capacity     float64            // core-seconds
+		late         int
+	}
+)
+
+// TestReplay plays the loads of testdata/loads in simulated time; SESAMEYOKE_FIGURES
+// prints what each has earned.
+func TestReplay(t *testing.T) {
+	files, err := filepath.Glob("testdata/loads/*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	seeds := replaySeeds
+	if s := os.Getenv("SESAMEYOKE_SEEDS"); s != "" {
+		seeds, err = strconv.Atoi(s)
+		require.NoError(t, err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		t.Run(name, func(t *testing.T) { readLoad(t, file).judge(t, name, seeds) })
+	}
+}
+
+// judge plays a load with several seeds and holds its means against its bounds.
+func (l *load) judge(t *testing.T, name string, seeds int) {
+	var (
+		lock          sync.Mutex
+		worth, wasted float64
+	)
+	figures := os.Getenv("SESAMEYOKE_FIGURES") != ""
+	t.Run("seeds", func(t *testing.T) {
+		for seed := 1; seed <= seeds; seed++ {
+			t.Run(strconv.Itoa(seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					o := l.play(t, uint64(seed))
+					lock.Lock()
+					defer lock.Unlock()
+					worth += o.worth() / float64(seeds)
+					wasted += o.wasted / o.capacity / float64(seeds)
+					if figures {
+						fmt.Printf("load=%s seed=%d %s\n", name, seed, o)
+					}
+				})
+			})
+		}
+	})
+	if figures {
+		fmt.Printf("load=%s seeds=%d worth=%.3f wasted=%.3f net=%.3f\n", name, seeds, worth, wasted, worth-wasted)
+	}
+	require.GreaterOrEqual(t, worth, l.Worth)
+	require.LessOrEqual(t, wasted, l.Wasted)
+}
+
+func readLoad(t *testing.T, file string) *load {
+	b, err := os.ReadFile(file)
+	require.NoError(t, err)
+	l := &load{}
+	d := yaml.NewDecoder(strings.NewReader(string(b)))
+	d.KnownFields(true)
+	require.NoError(t, d.Decode(l))
+
+	return l
+}
+
+// play carries a load out and returns what it has earned.
+func (l *load) play(t *testing.T, seed uint64) outcome {
+	r := newRig(t, seed)
+	defer r.stop()
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	l.setPolicy(r)
+	all := l.arrivals(rnd)
+	byID := map[string]*arrival{}
+	for _, a := range all {
+		byID[a.ID] = a
+	}
+	for i := range l.Workers {
+		r.fleet.Add(fmt.Sprintf("k%03d", i), "s", fmt.Sprintf("r%02d", i/l.Rack), work.Shape{CPU: l.CPU, Memory: l.Memory, Accelerators: 8})
+	}
+	r.fleet.Outcome = func(task work.Task, _ int64, _ string) (time.Duration, target.How) {
+		a := byID[task.Job]
+		if a.poison {
+			return time.Duration(a.lengths[task.Index] * float64(time.Second) / 4), target.Failed
+		}
+
+		return time.Duration(a.lengths[task.Index] * float64(time.Second)), target.Done
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		r.start(n)
+	}
+	time.Sleep(2 * time.Second)
+	l.run(t, r, rnd, all)
+	o := l.count(r, all)
+	require.Empty(t, r.fleet.Check())
+
+	return o
+}
+
+func (l *load) setPolicy(r *rig) {
+	r.policy = &policy.Policy{Version: 1}
+	for _, k := range l.Kinds {
+		r.policy.Queues = append(r.policy.Queues, policy.Queue{
+			Name: k.Name, Service: "s", Priority: k.Priority, Attempts: 2, Stretch: k.Stretch, Target: k.Target,
+		})
+	}
+	for i := range l.Workspaces {
+		r.policy.Workspaces = append(r.policy.Workspaces, policy.Workspace{Name: fmt.Sprintf("w%d", i), Guaranteed: l.Guaranteed})
+	}
+	r.policy.Index()
+}
+
+// arrivals draws the jobs in the order of their arrival.
+func (l *load) arrivals(rnd *rand.Rand) []*arrival {
+	var all []*arrival
+	for i := range l.Kinds {
+		k := &l.Kinds[i]
+		for range k.Filled {
+			all = append(all, l.draw(rnd, k, rnd.Float64()))
+		}
+		for at := 4.0; at < 4+l.Seconds; {
+			at += rnd.ExpFloat64() / (k.Rate * l.burst(k.Name, at-4))
+			all = append(all, l.draw(rnd, k, at))
+		}
+	}
+
+	return all
+}
+
+// burst returns by how much more a kind arrives at a moment.
+func (l *load) burst(name string, at float64) float64 {
+	x := 1.0
+	for _, d := range l.Troubles {
+		if d.Kind == "burst" && d.Of == name && at >= d.At && at < d.At+d.For {
+			x *= d.Times
+		}
+	}
+
+	return x
+}
+
+func (l *load) draw(rnd *rand.Rand, k *kind, at float64) *arrival {
+	n := min(k.Most, 1+int(rnd.ExpFloat64()*(k.Width-1)))
+	length := k.Length * spread(rnd, k.Spread)
+	a := &arrival{kind: k, sent: time.Duration(at * float64(time.Second)), poison: rnd.Float64() < k.Poison}
+	need := work.Shape{CPU: k.CPU, Memory: k.Memory, Accelerators: k.Accelerators[rnd.IntN(len(k.Accelerators))]}
+	st := work.Step{Count: n, Need: need, Estimate: int64(1000 * length * spread(rnd, k.Off)), Checkpoints: rnd.Float64() < k.Saves}
+	st.Gang = n > 1 && rnd.Float64() < k.Gang
+	st.OneRack = st.Gang && rnd.Float64() < k.Together
+	for range n {
+		one := length
+		if !st.Gang {
+			one *= spread(rnd, k.Uneven)
+		}
+		a.lengths = append(a.lengths, one)
+	}
+	if rnd.Float64() < k.Cancel {
+		a.cancel = rnd.Float64() * 2 * length
+	}
+	a.Job = work.Job{
+		ID: fmt.Sprintf("%016x", rnd.Uint64()), Queue: k.Name, Workspace: fmt.Sprintf("w%d", rnd.IntN(l.Workspaces)), Spec: "x", Steps: []work.Step{st},
+	}
+
+	return a
+}
+
+// spread draws a factor with a mean of about 1.
+func spread(rnd *rand.Rand, s float64) float64 { return math.Exp(s*rnd.NormFloat64() - s*s/2) }
+
+// run hands the jobs in at their times, makes the troubles, and waits for the ends.
+func (l *load) run(t *testing.T, r *rig, rnd *rand.Rand, all []*arrival) {
+	began := time.Now()
+	var jobs sync.WaitGroup
+	for _, a := range all {
+		jobs.Go(func() { r.follow(a, began) })
+	}
+	for _, d := range l.Troubles {
+		picked := rnd.Perm(l.Workers)[:min(l.Workers, int(d.Share*float64(l.Workers)))]
+		jobs.Go(func() { r.disturb(t, d, picked, began) })
+	}
+	jobs.Wait()
+}
+
+// follow hands a job in, cancels it if it is to be, and notes when it has ended.
+func (r *rig) follow(a *arrival, began time.Time) {
+	time.Sleep(time.Until(began.Add(a.sent)))
+	if !r.submit(a.Job) {
+		return
+	}
+	over := began.Add(a.sent + replayRest + time.Duration(lateTimes)*a.objective())
+	for time.Now().Before(over) {
+		time.Sleep(50 * time.Millisecond)
+		if _, g := r.planner(); g != nil {
+			if a.cancel > 0 && time.Since(began) > a.sent+time.Duration(a.cancel*float64(time.Second)) {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_ = g.Cancel(ctx, a.ID, a.Workspace) // tried again below if it has no answer
+				cancel()
+			}
+			if p, err := g.State(a.ID, a.Workspace); err == nil && p.Final() {
+				a.done = time.Since(began) - a.sent
+
+				return
+			}
+		}
+	}
+}
+
+// disturb makes one trouble at the workers.
+func (r *rig) disturb(t *testing.T, d trouble, picked []int, began time.Time) {
+	time.Sleep(time.Until(began.Add(time.Duration((4 + d.At) * float64(time.Second)))))
+	length := time.Duration(d.For * float64(time.Second))
+	each := func(f func(id string)) {
+		for _, i := range picked {
+			f(fmt.Sprintf("k%03d", i))
+		}
+	}
+	switch d.Kind {
+	case "burst":
+	case "slow":
+		each(func(id string) { r.fleet.SetSpeed(id, 1/d.Times) })
+		time.Sleep(length)
+		each(func(id string) { r.fleet.SetSpeed(id, 1) })
+	case "leave":
+		each(func(id string) { r.fleet.Drain(id, length) })
+		time.Sleep(length)
+		each(func(id string) { r.fleet.Kill(id); r.fleet.Unlist(id) })
+	case "silent":
+		each(func(id string) { r.fleet.Cut(id, true) })
+		time.Sleep(length)
+		each(func(id string) { r.fleet.Cut(id, false) })
+	case "late":
+		r.fleet.SetOrders(d.Share, 0)
+		time.Sleep(length)
+		r.fleet.SetOrders(0, 0)
+	case "planner":
+		name, _ := r.planner()
+		r.kill(name)
+		time.Sleep(length)
+		r.start(name)
+	default:
+		t.Errorf("trouble %q is not known", d.Kind)
+	}
+}
+
+// objective is the time in which a job is worth all.
+func (a *arrival) objective() time.Duration {
+	longest := 0.0
+	for _, l := range a.lengths {
+		longest = max(longest, l)
+	}
+
+	return time.Duration(a.kind.Stretch*longest*float64(time.Second)) + a.kind.Target
+}
+
+// size is the work of a job in core-seconds.
+func (a *arrival) size() float64 {
+	sum := 0.0
+	for _, l := range a.lengths {
+		sum += l
+	}
+
+	return sum * cores(a.Steps[0].Need)
+}
+
+func cores(s work.Shape) float64 {
+	return float64(s.CPU)/1000 + accelCores*float64(s.Accelerators)
+}
+
+// count adds up what the jobs have earned and what was thrown away.
+func (l *load) count(r *rig, all []*arrival) outcome {
+	o := outcome{owed: map[string]float64{}, earned: map[string]float64{}}
+	o.capacity = float64(l.Workers) * cores(work.Shape{CPU: l.CPU, Accelerators: 8}) * l.Seconds
+	byID, mean, n := map[string]*arrival{}, map[string]float64{}, map[string]float64{}
+	for _, a := range all {
+		byID[a.ID] = a
+		mean[a.kind.Name] += a.size()
+		n[a.kind.Name]++
+	}
+	for _, a := range all {
+		if a.cancel > 0 {
+			continue
+		}
+		k := a.kind.Name
+		credit := min(mostCredit, baseCredit+(1-baseCredit)*a.size()/(mean[k]/n[k]))
+		o.owed[k] += credit * a.kind.Worth
+		switch {
+		case a.done == 0 || a.done > lateTimes*a.objective():
+		case a.done <= a.objective():
+			o.earned[k] += credit * a.kind.Worth
+		default:
+			o.earned[k] += credit * a.kind.Late
+			o.late++
+		}
+	}
+	for _, e := range r.fleet.Entries() {
+		a := byID[e.Task.Job]
+		if e.How != target.Done && !e.To.IsZero() && a.cancel == 0 && !a.poison && !a.Steps[0].Checkpoints {
+			o.wasted += e.To.Sub(e.From).Seconds() * cores(a.Steps[0].Need)
+		}
+	}
+
+	return o
+}
+
+// worth is the share of the credit that was earned.
+func (o outcome) worth() float64 {
+	owed, earned := 0.0, 0.0
+	for k := range o.owed {
+		owed += o.owed[k]
+		earned += o.earned[k]
+	}
+
+	return earned / owed
+}
+
+func (o outcome) String() string {
+	s := fmt.Sprintf("worth=%.3f wasted=%.3f late=%d", o.worth(), o.wasted/o.capacity, o.late)
+	for _, k := range []string{"urgent", "gang", "bulk"} {
+		if o.owed[k] > 0 {
+			s += fmt.Sprintf(" %s=%.3f", k, o.earned[k]/o.owed[k])
+		}
+	}
+
+	return s
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -362,7 +362,9 @@
 
 			return target.Report{}, errors.Wrap(target.ErrUnknown, "no answer")
 		}
-		f.advance()
+		if first {
+			f.advance() // Run does it from now on
+		}
 		if h.Token < w.token {
 			f.mu.Unlock()
 
