--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -15,7 +15,6 @@
 		Group    string // runs of one gang end together
 		Priority int
 		Lost     float64 // core-seconds that stopping it throws away
-		Left     float64 // seconds until it may be expected to end
 		Ending   bool    // is being stopped already
 		Need     work.Shape
 	}
@@ -57,7 +56,6 @@
 		Haste    float64 // what a fast worker is worth, in shares of a worker left free
 		Claimed  bool    // some worker's room is kept for it
 		Overdue  bool    // has waited so long that it may use workers kept for others
-		Keeps    bool    // workers that come free may be kept for it, if it is a gang
 		Evicts   bool    // may stop runs of a lower priority
 	}
 
@@ -113,13 +111,9 @@
 		if u.Evicts && len(c.at) < len(u.Tasks) && (u.Gang || len(c.at) == 0) {
 			evict(workers, racks, u, &r)
 		}
-		waits := u.Gang && len(c.at) == 0 && !u.Claimed
-		switch {
-		case waits && u.Overdue && !reserved:
-			reserve(workers, racks, u, len(workers), &r)
+		if u.Overdue && u.Gang && len(c.at) == 0 && !reserved {
+			reserve(workers, racks, u, &r)
 			reserved = true
-		case waits && u.Keeps:
-			reserve(workers, racks, u, unclaimed(workers), &r)
 		}
 	}
 
--- a/internal/core/assign/rank.go
+++ b/internal/core/assign/rank.go
@@ -29,9 +29,6 @@
 	return float64(s.rank())*rankStep + float64(s.Priority)*prioStep + accepted.Seconds()
 }
 
-// Hopeful reports whether the job can still be worth something.
-func (s Standing) Hopeful() bool { return s.rank() != rankHopeless }
-
 func (s Standing) rank() int {
 	end := s.Waited + s.Left
 	switch {
--- a/internal/core/assign/reserve.go
+++ b/internal/core/assign/reserve.go
@@ -1,47 +1,13 @@
 package assign
 
-import (
-	"cmp"
-	"slices"
-)
-
-// claimShare is the share of the workers that may be kept for gangs before they
-// are overdue.
-const claimShare = 0.3
-
-// keepFor is the longest time, in seconds, for which workers are kept.
-const keepFor = 4.0
-
-// wait returns in how many seconds all that runs on a worker may have ended.
-func (w *Worker) wait() float64 {
-	most := 0.0
-	for _, r := range w.Runs {
-		if !r.Ending {
-			most = max(most, r.Left)
-		}
-	}
-
-	return most
-}
-
-// unclaimed returns how many more workers may be kept.
-func unclaimed(workers []Worker) int {
-	n := int(claimShare * float64(len(workers)))
-	for i := range workers {
-		if workers[i].Claim != "" {
-			n--
-		}
-	}
-
-	return n
-}
+import "slices"
 
 // reserve keeps the workers with the least left to end for a gang that has
 // waited long, so that small tasks do not slip in for ever.
-func reserve(workers []Worker, racks map[string][]int, u *Unit, most int, r *Result) {
+func reserve(workers []Worker, racks map[string][]int, u *Unit, r *Result) {
 	var (
 		best []int
-		busy float64
+		busy int
 	)
 	among := [][]int{everywhere(workers)}
 	if u.Together {
@@ -56,9 +22,6 @@
 			best, busy = picked, b
 		}
 	}
-	if len(best) > most || (!u.Overdue && busy > keepFor) {
-		return
-	}
 	for _, w := range best {
 		r.Claims[w] = u.Name
 		workers[w].Claim = u.Name
@@ -67,13 +30,9 @@
 
 // freest returns the workers with the most free accelerators that would hold the
 // unit if nothing ran there, and how many of their accelerators are in use.
-func freest(workers []Worker, among []int, u *Unit) (picked []int, busy float64) {
+func freest(workers []Worker, among []int, u *Unit) (picked []int, busy int) {
 	order := slices.Clone(among)
-	wait := map[int]float64{}
-	for _, i := range order {
-		wait[i] = workers[i].wait()
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(wait[a], wait[b]) })
+	slices.SortStableFunc(order, func(a, b int) int { return workers[b].Free.Accelerators - workers[a].Free.Accelerators })
 	left := len(u.Tasks)
 	for _, i := range order {
 		w := &workers[i]
@@ -92,7 +51,7 @@
 		}
 		left -= n
 		picked = append(picked, i)
-		busy = max(busy, wait[i])
+		busy += w.Room.Accelerators - w.Free.Accelerators
 	}
 	if left > 0 {
 		return nil, 0
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sesameyoke/internal/core/assign"
-	"sesameyoke/internal/core/watch"
 )
 
 const (
@@ -109,28 +108,11 @@
 	r := assign.Run{Group: u.name, Need: m.need(), Priority: e.rules(u.job.Queue).Priority, Ending: u.aborted || u.done}
 	for _, o := range u.members {
 		r.Lost += o.lost(now)
-		r.Left = max(r.Left, e.left(o, now).Seconds())
 	}
 
 	return r
 }
 
-// left returns how long a member may be expected to run on.
-func (e *Engine) left(m *member, now time.Duration) time.Duration {
-	if m.phase == gone {
-		return 0
-	}
-	length := e.usual(m).Length
-	if length == 0 {
-		length = e.runOf(m.unit.job, m.unit.step)
-	}
-	if m.track.Known() {
-		return watch.Run{Track: &m.track, Length: length}.Left()
-	}
-
-	return max(0, length-(now-m.began))
-}
-
 // lost returns the core-seconds that a stop throws away.
 func (m *member) lost(now time.Duration) float64 {
 	if m.began == 0 || m.phase == gone {
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	keepAfter    = 300 * time.Millisecond // an urgent gang that waits longer has workers kept for it
-	overdueAfter = 12 * time.Second       // work that waits longer may use workers kept for urgent work
+	overdueAfter = 12 * time.Second // work that waits longer may use workers kept for urgent work
 )
 
 type (
@@ -124,7 +123,6 @@
 	c := candidate{job: s, occur: occur, step: step, allow: allow, order: assign.Rank(stand, s.since(occur, e.Now(), e.Boot()))}
 	c.unit = e.unitOf(s, occur, step, tasks)
 	c.unit.Overdue = waited >= overdueAfter
-	c.unit.Keeps = q.Priority == 0 && waited >= keepAfter && stand.Hopeful()
 	c.unit.Evicts = urgent && waited >= e.Timing.Evict
 
 	return append(cands, c)
