--- a/internal/core/assign/rank.go
+++ b/internal/core/assign/rank.go
@@ -1,6 +1,9 @@
 package assign
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Standing is what the order of a waiting unit depends on.
 type Standing struct {
@@ -42,3 +45,14 @@
 
 	return rankHopeless
 }
+
+// Expected returns the run time that a job may be expected to need: between what it
+// declares, which is often far off, and what its queue's runs have taken, which says
+// nothing of jobs that are longer than others.
+func Expected(declared, usual time.Duration) time.Duration {
+	if declared <= 0 {
+		return usual
+	}
+
+	return time.Duration(math.Sqrt(float64(declared) * float64(usual)))
+}
--- a/internal/run/engine/learn.go
+++ b/internal/run/engine/learn.go
@@ -51,11 +51,13 @@
 
 // runOf returns the expected run time of a step's task.
 func (e *Engine) runOf(s *job, step int) time.Duration {
-	if l := e.learnt[s.Queue]; l != nil && l.runs >= learnFrom {
-		return time.Duration(l.mean * float64(time.Second))
+	declared := time.Duration(s.Steps[step].Estimate) * time.Millisecond
+	l := e.learnt[s.Queue]
+	if l == nil || l.runs < learnFrom {
+		return declared
 	}
 
-	return time.Duration(s.Steps[step].Estimate) * time.Millisecond
+	return assign.Expected(declared, time.Duration(l.mean*float64(time.Second)))
 }
 
 // chain returns the expected time of the longest chain of the steps that are
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -25,6 +25,9 @@
 const (
 	topic = "keyed.lead" // holds the lease's record only
 	key   = "planner"
+
+	renewAgain = 100 * time.Millisecond // a renewal without an answer is sent again after
+	renewTries = 6                      // of one renewal
 )
 
 // Strengths of a VM.
@@ -346,7 +349,7 @@
 	}
 	next := Holder{Name: e.Name, Address: e.Address, Token: h.Token + 1}
 	sent := e.Boot()
-	now, err := e.append(ctx, next, end)
+	now, err := e.append(ctx, next, end, 1)
 	if err != nil {
 		e.Log.Info().Str("event", "lease-not-taken").Err(err).Int64("token", next.Token).Int64("offset", end).Msg("")
 
@@ -369,7 +372,9 @@
 	l.until.Store(int64(sent + keep))
 }
 
-func (e *Elector) append(ctx context.Context, h Holder, at int64) (int64, error) {
+// append writes the lease's record where the topic ends; it sends it up to tries times
+// while no answer comes.
+func (e *Elector) append(ctx context.Context, h Holder, at int64, tries int) (int64, error) {
 	b, err := cbor.Marshal(h)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode lease")
@@ -377,7 +382,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Call)
 	defer cancel()
 
-	return e.Store.Append(ctx, store.Append{Topic: topic, Records: []store.Record{{Key: key, Value: b}}, At: at})
+	return e.Store.AppendAgain(ctx, store.Append{Topic: topic, Records: []store.Record{{Key: key, Value: b}}, At: at}, renewAgain, tries)
 }
 
 // hold runs the planner and renews its lease until it is lost.
@@ -413,7 +418,7 @@
 	e.mu.Unlock()
 	h.Renewal++
 	sent := e.Boot()
-	now, err := e.append(ctx, h, end)
+	now, err := e.append(ctx, h, end, renewTries)
 	if err == nil {
 		e.mu.Lock()
 		e.holder, e.end = h, now
@@ -427,13 +432,20 @@
 
 		return false
 	}
-	e.Log.Warn().Str("event", "lease-renewal-failed").Err(err).Int64("token", l.Token).Dur("age", l.Age()).Msg("")
+	var ended *store.ConditionError
+	if !errors.As(err, &ended) {
+		e.Log.Warn().Str("event", "lease-renewal-failed").Err(err).Int64("token", l.Token).Dur("age", l.Age()).Msg("")
+	}
 	if err := e.observe(ctx); err != nil {
 		return true // the store is away: the lease runs on until it expires
 	}
 	found, _ := e.Holder()
+	mine := found.Name == e.Name && found.Token == l.Token && !found.Released
+	if mine && found.Renewal == h.Renewal {
+		l.extend(sent, e.Keep, h.Renewal) // its answer was lost
+	}
 
-	return found.Name == e.Name && found.Token == l.Token && !found.Released
+	return mine
 }
 
 func (e *Elector) sleep(ctx context.Context, d time.Duration) {
--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -30,7 +30,7 @@
 		return
 	}
 	h.Released = true
-	if _, err := e.append(ctx, h, end); err != nil {
+	if _, err := e.append(ctx, h, end, 1); err != nil {
 		e.Log.Warn().Str("event", "lease-release-failed").Err(err).Int64("token", h.Token).Msg("")
 	}
 }
