Contain what nobody has thought of: strange reports, records and configurations

Such rows are logged and left out, records are checked, and a panic over one report, record, entry or pass is logged, counted (panics) and passed over.

Random sequences now also have VMs of different strength, so that the lease moves on while faults last.

--- a/internal/core/work/job.go
+++ b/internal/core/work/job.go
@@ -125,6 +125,11 @@
 	return nil
 }
 
+// Possible reports whether a job within the limits can have such a task.
+func (t Task) Possible() bool {
+	return t.Occur >= 0 && t.Occur < maxTimes && t.Step >= 0 && t.Step < maxSteps && t.Index >= 0 && t.Index < maxTasks
+}
+
 // Occurrences is the number of times that the steps run.
 func (j Job) Occurrences() int { return max(1, j.Times) }
 
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -69,6 +69,9 @@
 	if err := cbor.Unmarshal(b, &p); err != nil {
 		return p, errors.Wrap(err, "decode progress")
 	}
+	if p.Phase > Cancelled || len(p.Occurs) > j.Occurrences() {
+		return p, errors.Errorf("progress of job %q has phase %d and %d occurrences", j.ID, p.Phase, len(p.Occurs))
+	}
 	for _, o := range p.Occurs {
 		if len(o.Steps) == 0 && o.Ended {
 			continue
--- /dev/null
+++ b/internal/core/work/record_test.go
@@ -0,0 +1,30 @@
+package work_test
+
+import (
+	"testing"
+
+	"sesameyoke/internal/core/work"
+)
+
+// FuzzRecord decodes records of jobs and of their progress, and names the phases.
+func FuzzRecord(f *testing.F) {
+	j := work.Job{ID: "j", Steps: []work.Step{{Count: 2}}}
+	for _, v := range []any{j, work.Progress{Phase: work.Running, Occurs: []work.Occurrence{work.NewOccurrence(&j)}}, work.Progress{Phase: 77}} {
+		b, err := work.Encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if got, err := work.DecodeJob(b); err == nil {
+			_ = got.Span()
+		}
+		if p, err := work.DecodeProgress(b, &j); err == nil {
+			_ = p.Phase.String()
+			for _, o := range p.Occurs {
+				_ = o.Ended || o.Done()
+			}
+		}
+	})
+}
--- a/internal/core/work/state.go
+++ b/internal/core/work/state.go
@@ -1,5 +1,7 @@
 package work
 
+import "strconv"
+
 // Phases of a job.
 const (
 	Queued Phase = iota
@@ -56,7 +58,13 @@
 var phaseNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
 // String names the phase.
-func (p Phase) String() string { return phaseNames[p] }
+func (p Phase) String() string {
+	if int(p) >= len(phaseNames) {
+		return "phase " + strconv.Itoa(int(p))
+	}
+
+	return phaseNames[p]
+}
 
 // Final reports whether the job has ended.
 func (p Phase) Final() bool { return p >= Completed }
--- /dev/null
+++ b/internal/run/engine/contain_test.go
@@ -0,0 +1,50 @@
+package engine_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/policy"
+	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/run/engine"
+)
+
+// TestContained has the planner's configuration panic for a second, which stands for
+// any input that nobody has thought of: the planner goes on, and its jobs end.
+func TestContained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		var until time.Time
+		panics := int64(0)
+		r.broken.config = func(c *engine.Config) {
+			good := c.Policy
+			c.Policy = func() *policy.Policy {
+				if time.Now().Before(until) {
+					panic("configuration that nobody has thought of")
+				}
+
+				return good()
+			}
+			c.Count = func(name string, n int64) {
+				if name == "panics" {
+					panics += n
+				}
+			}
+		}
+		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 8000, Memory: 8000, Accelerators: 8})
+		r.start("a")
+		time.Sleep(time.Second)
+		until = time.Now().Add(time.Second)
+		require.True(t, r.submit(work.Job{
+			ID: "j", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 2, Need: work.Shape{Accelerators: 1}, Estimate: 2000}},
+		}))
+		time.Sleep(6 * time.Second)
+		require.Equal(t, "completed", r.state("j"))
+		require.Positive(t, panics)
+		require.Equal(t, "a under token 1", r.plans())
+	})
+}
--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, t := range l.Workers {
-		e.listed(t)
+		e.contain("worker's entry", t.ID, func() { e.listed(t) })
 	}
 }
 
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -210,7 +210,7 @@
 		case <-e.kicked:
 		}
 		e.mu.Lock()
-		e.pass()
+		e.contain("pass", "", e.pass)
 		e.mu.Unlock()
 		timer.Pause(ctx, max(passPause, passRest*e.lastPass))
 	}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -318,9 +318,9 @@
 var hastes = []float64{1.5, 0.5}
 
 func haste(priority int) float64 {
-	if priority < len(hastes) {
-		return hastes[priority]
+	if priority >= len(hastes) {
+		return 0
 	}
 
-	return 0
+	return hastes[max(0, priority)]
 }
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -100,7 +100,7 @@
 	for _, r := range jobs {
 		switch kind, id := work.ParseKey(r.Key); kind {
 		case work.OpenRecord:
-			e.enterOpen(r, false)
+			e.contain("job record", r.Key, func() { e.enterOpen(r, false) })
 		case work.ProgressRecord:
 			progress[id] = r.Value
 		case work.WaveRecord:
@@ -113,7 +113,7 @@
 	}
 	for _, r := range handins {
 		if kind, _ := work.ParseKey(r.Key); kind == work.OpenRecord {
-			e.enterOpen(r, true)
+			e.contain("hand-in", r.Key, func() { e.enterOpen(r, true) })
 		}
 	}
 	for id, b := range progress {
@@ -124,7 +124,7 @@
 
 			continue
 		}
-		e.enterProgress(s, b)
+		e.contain("progress record", id, func() { e.enterProgress(s, b) })
 	}
 	for _, s := range e.jobs {
 		if !s.shown.Final() {
@@ -184,7 +184,7 @@
 // adopt enters the runs that the planner before had assigned.
 func (e *Engine) adopt() {
 	for _, s := range e.jobs { // ended jobs too: their stops may not have arrived
-		e.adoptJob(s)
+		e.contain("progress of job", s.ID, func() { e.adoptJob(s) })
 	}
 	for _, u := range e.units {
 		if u.job.Phase.Final() {
@@ -322,7 +322,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, rec := range r.Records {
-		e.handin(rec)
+		e.contain("hand-in", rec.Key, func() { e.handin(rec) })
 	}
 	e.tail = r.End
 	e.tailed = max(e.tailed, sent)
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -114,8 +114,19 @@
 		return fmt.Sprintf("%s, %d hosts", state, n)
 	case "worker":
 		r.worker(t, name, d.CmdArgs[1].Key)
+	case "strange":
+		r.listStrange(t, name, d)
 	case "runs":
 		return r.runs(name)
+	case "left":
+		n := 0
+		for _, e := range r.fleet.Entries() {
+			if e.Worker == name {
+				n++
+			}
+		}
+
+		return fmt.Sprintf("%d runs", n)
 	case "again":
 		return r.again(name)
 	case "plans":
@@ -249,6 +260,18 @@
 	}
 }
 
+// listStrange has a worker list a run that cannot be, one a line: task and run.
+func (r *rig) listStrange(t *testing.T, id string, d *datadriven.TestData) {
+	strange := map[string][]target.Run{}
+	for line := range strings.SplitSeq(d.Input, "\n") {
+		var s target.Run
+		_, err := fmt.Sscan(line, &s.Task.Job, &s.Task.Occur, &s.Task.Step, &s.Task.Index, &s.Run, &s.Percent)
+		require.NoError(t, err)
+		strange[id] = append(strange[id], s)
+	}
+	r.fleet.Strange = strange
+}
+
 // setCores gives a VM the cores that an argument names.
 func (r *rig) setCores(t *testing.T, a datadriven.CmdArg) {
 	if len(a.Vals) == 0 {
--- a/internal/run/engine/sequence_test.go
+++ b/internal/run/engine/sequence_test.go
@@ -72,6 +72,9 @@
 		r.fleet.Add(fmt.Sprintf("k%d", i), "s", fmt.Sprintf("r%d", i/3), work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
 	}
 	names := []string{"a", "b", "c"}
+	if seed%2 == 0 {
+		r.cores["a"], r.cores["b"] = 0.2, 0.4 // the lease moves on whenever a stronger VM is back
+	}
 	for _, n := range names {
 		r.start(n)
 	}
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if err == nil {
-		e.reported(w, h, r, sent)
+		e.contain("report", w.ID, func() { e.reported(w, h, r, sent) })
 
 		return
 	}
@@ -196,6 +196,12 @@
 	listed := map[*member]bool{}
 	e.takeEnds(w, r.Ended, listed)
 	for _, run := range r.Running {
+		if !run.Task.Possible() {
+			e.Log.Warn().Str("event", "run-impossible").Str("worker", w.ID).Str("id", run.Task.Job).Int("occur", run.Task.Occur).
+				Int("step", run.Task.Step).Int("task", run.Task.Index).Msg("")
+
+			continue
+		}
 		e.sawRunning(w, run, listed)
 	}
 	e.judgeWorker(w)
@@ -286,7 +292,7 @@
 // lateEnd takes in the end of a run that was taken for lapsed.
 func (e *Engine) lateEnd(w *worker, end target.End) {
 	s := e.jobs[end.Task.Job]
-	if s == nil || end.Task.Occur >= len(s.Occurs) || s.Occurs[end.Task.Occur].Ended ||
+	if s == nil || !end.Task.Possible() || end.Task.Occur >= len(s.Occurs) || s.Occurs[end.Task.Occur].Ended ||
 		end.Task.Step >= len(s.Steps) || end.Task.Index >= s.Steps[end.Task.Step].Count {
 		return
 	}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -36,7 +36,9 @@
 		// CrossLives lets an order that is done late reach a life of the worker
 		// that began after the order was sent.
 		CrossLives bool
-		Roll       func() float64
+		// Strange are runs that workers list though they have none such, by worker.
+		Strange map[string][]target.Run
+		Roll    func() float64
 		// Outcome tells how long a run works and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 
@@ -406,6 +408,8 @@
 		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.saved(), Percent: a.progress(), Usage: f.usage(w, a)})
 	}
 
+	r.Running = append(r.Running, f.Strange[w.ID]...)
+
 	return r
 }
 
