Ask silent workers on which nothing runs, so that they get work again

A worker is asked for reports while something runs there; once its runs had lapsed it was never asked again, and a silent worker gets no work.

Such a worker is now asked every 0.6 s.

--- a/internal/run/engine/sequence_test.go
+++ b/internal/run/engine/sequence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,10 @@
 	calmFor       = 90 * time.Second // in which all must end
 )
 
+// foundSeeds have shown a fault once: 48, silent workers that were never asked again
+// when all VMs had been paused.
+var foundSeeds = []uint64{48}
+
 // TestSequences plays random faults against random jobs: VMs are killed, frozen
 // and cut off, the store and the workers lose and delay what they are told, and
 // workers restart. The workers' journal is checked throughout; all accepted jobs
@@ -39,7 +44,11 @@
 		first, err = strconv.ParseUint(v, 10, 64)
 		require.NoError(t, err)
 	}
+	seeds := slices.Clone(foundSeeds)
 	for seed := first; seed < first+n; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				faults, open := playSequence(t, seed, breakage{})
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -72,7 +72,7 @@
 
 		return h, w.address(), true
 	}
-	if len(w.runs) == 0 && w.acked <= w.ackSent {
+	if len(w.runs) == 0 && w.acked <= w.ackSent && !w.probe(e.Boot()) {
 		return h, target.Address{}, false
 	}
 	if w.seen > w.acked { // it would answer at once with the same ends
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -13,6 +13,8 @@
 const (
 	slowClock = 0.98 // slowest rate of a worker's clock against ours
 	clockSlip = 300 * time.Millisecond
+
+	probeEvery = 600 * time.Millisecond // between questions to a silent worker on which nothing runs
 )
 
 // worker is one worker's life as the planner knows it.
@@ -33,6 +35,7 @@
 	acked    int64         // highest durable end
 	ackSent  int64         // highest end that the worker knows to be durable
 	silent   time.Duration // no report since; 0 while it reports
+	probed   time.Duration // it was asked at, though silent and idle
 	refusing time.Duration // gets no starts until then
 	pace     share.Pace    // of tasks that fill
 	noFill   time.Duration // gets no filling tasks until then
@@ -64,6 +67,17 @@
 	return w.clock + int64(float64((boot-w.clockAt).Milliseconds())*slowClock)
 }
 
+// probe reports whether a silent worker is to be asked though nothing runs there: it
+// gets no work before it has answered.
+func (w *worker) probe(boot time.Duration) bool {
+	if w.silent == 0 || boot < w.probed+probeEvery {
+		return false
+	}
+	w.probed = boot
+
+	return true
+}
+
 // extend returns the deadline for an order sent now.
 func (w *worker) extend(boot, lease time.Duration) int64 {
 	d := w.now(boot) + lease.Milliseconds()
