Group the workers by rack once a decision; split orders, late runs, orphans and the lease's holding

Racks are now one sorted slice over one array, and a rack whose free accelerators cannot hold a gang is not tried. Placements are unchanged (TestDecide, property test).

engine/orders.go became starts.go and stops.go, session.go gave late.go and orphan.go, lead/hold.go keeps what a holder does.

--- a/internal/core/assign/assign.go
+++ b/internal/core/assign/assign.go
@@ -172,17 +172,8 @@
 	}
 }
 
-func byRack(workers []Worker) map[string][]int {
-	racks := map[string][]int{}
-	for i := range workers {
-		racks[workers[i].Rack] = append(racks[workers[i].Rack], i)
-	}
-
-	return racks
-}
-
 // place chooses workers for a unit: all of a gang or none.
-func place(workers []Worker, racks map[string][]int, u *Unit) choice {
+func place(workers []Worker, racks []rack, u *Unit) choice {
 	if u.Gang && u.Together {
 		return placeOnRack(workers, racks, u)
 	}
@@ -204,23 +195,27 @@
 }
 
 // placeOnRack takes the rack that has the least room left afterwards.
-func placeOnRack(workers []Worker, racks map[string][]int, u *Unit) choice {
+func placeOnRack(workers []Worker, racks []rack, u *Unit) choice {
 	var (
 		best choice
 		left float64
 	)
-	for _, rack := range sortedRacks(racks) {
-		c := fill(workers, racks[rack], u)
+	for i := range racks {
+		r := &racks[i]
+		if !r.may(workers, u) {
+			continue
+		}
+		c := fill(workers, r.workers, u)
 		if len(c.at) < len(u.Tasks) {
 			continue
 		}
 		free := rackDelay * slowest(workers, c.at, u)
-		for _, w := range racks[rack] {
+		for _, w := range r.workers {
 			if workers[w].Open {
 				free += float64(workers[w].Free.Accelerators)
 			}
 		}
-		if rack == u.Near {
+		if r.name == u.Near {
 			return c
 		}
 		if best.at == nil || free < left {
@@ -241,16 +236,6 @@
 	return most
 }
 
-func sortedRacks(racks map[string][]int) []string {
-	names := make([]string, 0, len(racks))
-	for n := range racks {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-
-	return names
-}
-
 // offer is a worker with the cost of one more task there.
 type offer struct {
 	cost   float64
--- a/internal/core/assign/evict.go
+++ b/internal/core/assign/evict.go
@@ -15,11 +15,11 @@
 
 // evict finds the cheapest runs of a lower priority whose end makes room for a
 // whole unit, and keeps that room for it.
-func evict(workers []Worker, racks map[string][]int, u *Unit, r *Result) {
+func evict(workers []Worker, racks []rack, u *Unit, r *Result) {
 	var best *plan
 	if u.Together {
-		for _, rack := range sortedRacks(racks) {
-			p := evictAmong(workers, racks[rack], u, r)
+		for i := range racks {
+			p := evictAmong(workers, racks[i].workers, u, r)
 			if p != nil && (best == nil || p.lost < best.lost) {
 				best = p
 			}
--- a/internal/core/assign/keep.go
+++ b/internal/core/assign/keep.go
@@ -10,7 +10,7 @@
 const keepFrom = 0.5
 
 // keep marks idle workers, whole racks first, because gangs often need a rack.
-func keep(workers []Worker, racks map[string][]int) {
+func keep(workers []Worker, racks []rack) {
 	room, free := 0, 0
 	for i := range workers {
 		if workers[i].Open {
@@ -32,21 +32,30 @@
 }
 
 // idleWorkers lists the workers on which nothing runs, racks with most of them first.
-func idleWorkers(workers []Worker, racks map[string][]int) []int {
-	names := sortedRacks(racks)
-	idle := map[string][]int{}
-	for _, n := range names {
-		for _, i := range racks[n] {
-			if w := &workers[i]; w.Open && w.Free == w.Room {
-				idle[n] = append(idle[n], i)
+func idleWorkers(workers []Worker, racks []rack) []int {
+	counts := make([]int, len(racks))
+	order := make([]int, len(racks))
+	total := 0
+	for at := range racks {
+		order[at] = at
+		for _, i := range racks[at].workers {
+			if workers[i].idle() {
+				counts[at]++
 			}
 		}
+		total += counts[at]
 	}
-	slices.SortStableFunc(names, func(a, b string) int { return len(idle[b]) - len(idle[a]) })
-	var order []int
-	for _, n := range names {
-		order = append(order, idle[n]...)
+	slices.SortStableFunc(order, func(a, b int) int { return counts[b] - counts[a] })
+	idle := make([]int, 0, total)
+	for _, at := range order {
+		for _, i := range racks[at].workers {
+			if workers[i].idle() {
+				idle = append(idle, i)
+			}
+		}
 	}
 
-	return order
+	return idle
 }
+
+func (w *Worker) idle() bool { return w.Open && w.Free == w.Room }
--- a/internal/core/assign/reserve.go
+++ b/internal/core/assign/reserve.go
@@ -4,7 +4,7 @@
 
 // reserve keeps the workers with the least left to end for a gang that has
 // waited long, so that small tasks do not slip in for ever.
-func reserve(workers []Worker, racks map[string][]int, u *Unit, r *Result) {
+func reserve(workers []Worker, racks []rack, u *Unit, r *Result) {
 	var (
 		best []int
 		busy int
@@ -12,8 +12,8 @@
 	among := [][]int{everywhere(workers)}
 	if u.Together {
 		among = among[:0]
-		for _, rack := range sortedRacks(racks) {
-			among = append(among, racks[rack])
+		for i := range racks {
+			among = append(among, racks[i].workers)
 		}
 	}
 	for _, ws := range among {
--- a/internal/run/engine/queue.go
+++ b/internal/run/engine/queue.go
@@ -33,27 +33,3 @@
 
 	return nil
 }
-
-// length returns how many members wait.
-func (q *startQueue) length() int {
-	n := 0
-	for _, ms := range q.waiting {
-		n += len(ms)
-	}
-
-	return n
-}
-
-// gate bounds the calls that are made at a time.
-type gate chan struct{}
-
-func (g gate) enter(done <-chan struct{}) bool {
-	select {
-	case g <- struct{}{}:
-		return true
-	case <-done:
-		return false
-	}
-}
-
-func (g gate) leave() { <-g }
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -385,69 +385,6 @@
 	return e.Store.AppendAgain(ctx, store.Append{Topic: topic, Records: []store.Record{{Key: key, Value: b}}, At: at}, renewAgain, tries)
 }
 
-// hold runs the planner and renews its lease until it is lost.
-func (e *Elector) hold(ctx context.Context, l *Lease) {
-	ctx = l.ctx
-	defer l.cancel()
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		defer l.cancel()
-		e.Plan(ctx, l)
-	})
-	for ctx.Err() == nil {
-		e.sleep(ctx, e.Renew)
-		if ctx.Err() != nil {
-			break
-		}
-		if e.moveOn(ctx, l) || !e.renew(ctx, l) {
-			l.Lose()
-		}
-	}
-	l.until.Store(0)
-	wait.Wait()
-	e.mu.Lock()
-	e.lease, e.sound = nil, false
-	e.mu.Unlock()
-	e.Log.Info().Str("event", "lease-lost").Int64("token", l.Token).Msg("")
-}
-
-// renew reports whether the lease is still this VM's.
-func (e *Elector) renew(ctx context.Context, l *Lease) bool {
-	e.mu.Lock()
-	h, end := e.holder, e.end
-	e.mu.Unlock()
-	h.Renewal++
-	sent := e.Boot()
-	now, err := e.append(ctx, h, end, renewTries)
-	if err == nil {
-		e.mu.Lock()
-		e.holder, e.end = h, now
-		e.mu.Unlock()
-		l.extend(sent, e.Keep, h.Renewal)
-
-		return true
-	}
-	if !l.Valid() {
-		e.Log.Warn().Str("event", "lease-expired").Err(err).Int64("token", l.Token).Dur("age", l.Age()).Msg("")
-
-		return false
-	}
-	var ended *store.ConditionError
-	if !errors.As(err, &ended) {
-		e.Log.Warn().Str("event", "lease-renewal-failed").Err(err).Int64("token", l.Token).Dur("age", l.Age()).Msg("")
-	}
-	if err := e.observe(ctx); err != nil {
-		return true // the store is away: the lease runs on until it expires
-	}
-	found, _ := e.Holder()
-	mine := found.Name == e.Name && found.Token == l.Token && !found.Released
-	if mine && found.Renewal == h.Renewal {
-		l.extend(sent, e.Keep, h.Renewal) // its answer was lost
-	}
-
-	return mine
-}
-
 func (e *Elector) sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
