Do not revive a lease that was lost while it was offered

Seen in review: while a lease is offered to a stronger VM its end is set aside, and was put back if that VM refuses; a worker or the store that had shown a successor meanwhile had taken it away for good, and orders could have gone out again until the old end (workers and store would have refused them by the token). TestMoveOn, case 'refused, and lost', failed before.

--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -7,8 +7,10 @@
 	"github.com/pkg/errors"
 )
 
-// moveRest is the time between two offers of a lease to stronger VMs.
-const moveRest = 2 * time.Second
+const (
+	moveRest  = 2 * time.Second // between two offers of a lease to stronger VMs
+	suspended = -1              // end of a lease that is being offered: no order is given
+)
 
 // offer is the lease of a planner that leaves.
 type offer struct {
@@ -66,10 +68,10 @@
 	e.mu.Lock()
 	h, end := e.holder, e.end
 	e.mu.Unlock()
-	until := l.until.Swap(0)
+	until := l.until.Swap(suspended)
 	err := e.handOver(ctx, to, h, end)
 	if errors.Is(err, errNotTaken) {
-		l.until.Store(until)
+		l.until.CompareAndSwap(suspended, until) // not if it was lost meanwhile
 	}
 
 	return err == nil
