--- a/internal/peer/store/again_test.go
+++ b/internal/peer/store/again_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +29,9 @@
 func appendAgain(t *testing.T, copies []string, within string) string {
 	limit, err := time.ParseDuration(within)
 	require.NoError(t, err)
-	n := 0
+	var sent atomic.Int64
 	s := &store.Store{Append: func(ctx context.Context, _ store.Append) (int64, error) {
-		met := copies[n]
-		n++
-		switch met {
+		switch copies[sent.Add(1)-1] {
 		case "lost":
 			<-ctx.Done()
 
--- a/internal/run/engine/contain_test.go
+++ b/internal/run/engine/contain_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,12 +19,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		defer r.stop()
-		var until time.Time
-		panics := int64(0)
+		var until, panics atomic.Int64
 		r.broken.config = func(c *engine.Config) {
 			good := c.Policy
 			c.Policy = func() *policy.Policy {
-				if time.Now().Before(until) {
+				if time.Now().UnixNano() < until.Load() {
 					panic("configuration that nobody has thought of")
 				}
 
@@ -31,20 +31,20 @@
 			}
 			c.Count = func(name string, n int64) {
 				if name == "panics" {
-					panics += n
+					panics.Add(n)
 				}
 			}
 		}
 		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 8000, Memory: 8000, Accelerators: 8})
 		r.start("a")
 		time.Sleep(time.Second)
-		until = time.Now().Add(time.Second)
+		until.Store(time.Now().Add(time.Second).UnixNano())
 		require.True(t, r.submit(work.Job{
 			ID: "j", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 2, Need: work.Shape{Accelerators: 1}, Estimate: 2000}},
 		}))
 		time.Sleep(6 * time.Second)
 		require.Equal(t, "completed", r.state("j"))
-		require.Positive(t, panics)
+		require.Positive(t, panics.Load())
 		require.Equal(t, "a under token 1", r.plans())
 	})
 }
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -369,7 +369,7 @@
 		}
 		cancel()
 		if err == nil {
-			r.accepted[j.ID] = true
+			r.accept(j.ID)
 
 			return true
 		}
@@ -379,6 +379,13 @@
 	return false
 }
 
+// accept notes that a job was accepted.
+func (r *rig) accept(id string) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.accepted[id] = true
+}
+
 func (r *rig) direct(ctx context.Context, key string, j work.Job) error {
 	b, err := work.Encode(j)
 	if err != nil {
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -180,7 +180,7 @@
 func (r *rig) setOutcome(t *testing.T, d *datadriven.TestData) {
 	length, fails, only := 2000, 0, ""
 	if d.HasArg("endless") {
-		r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return fleet.Endless, target.Done }
+		r.fleet.SetOutcome(func(work.Task, int64, string) (time.Duration, target.How) { return fleet.Endless, target.Done })
 
 		return
 	}
@@ -189,7 +189,7 @@
 	d.MaybeScanArgs(t, "index", &only)
 	var endless string
 	d.MaybeScanArgs(t, "lasts", &endless)
-	r.fleet.Outcome = func(task work.Task, run int64, _ string) (time.Duration, target.How) {
+	r.fleet.SetOutcome(func(task work.Task, run int64, _ string) (time.Duration, target.How) {
 		if task.Job == endless {
 			return fleet.Endless, target.Done
 		}
@@ -198,7 +198,7 @@
 		}
 
 		return time.Duration(length) * time.Millisecond, target.Done
-	}
+	})
 }
 
 func (r *rig) submitScript(t *testing.T, d *datadriven.TestData, id string) string {
@@ -269,7 +269,7 @@
 		require.NoError(t, err)
 		strange[id] = append(strange[id], s)
 	}
-	r.fleet.Strange = strange
+	r.fleet.SetStrange(strange)
 }
 
 // setCores gives a VM the cores that an argument names.
--- a/internal/run/entry/policy_test.go
+++ b/internal/run/entry/policy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 // site is the operator's configuration, as the store and another VM tell it. Version N
 // knows the keys k1 to kN, but those that were withdrawn.
 type site struct {
+	mu      sync.Mutex
 	epoch   time.Time
 	away    bool // the store does not answer
 	version int
@@ -43,6 +45,10 @@
 		var e *entry.Entry
 		stop := func() {}
 		datadriven.RunTest(t, "testdata/restart", func(t *testing.T, d *datadriven.TestData) string {
+			if strings.Contains(" publish store peer ", " "+d.Cmd+" ") {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+			}
 			switch d.Cmd {
 			case "publish":
 				d.ScanArgs(t, "version", &s.version)
@@ -94,20 +100,31 @@
 }
 
 func (s *site) newest(ctx context.Context) ([]byte, int64, error) {
-	if s.away {
+	s.mu.Lock()
+	away, b, version := s.away, []byte(strconv.Itoa(s.version)+" "+s.without), int64(s.version)
+	s.mu.Unlock()
+	if away {
 		<-ctx.Done()
 
 		return nil, 0, errors.Wrap(store.ErrUnknown, "no answer")
 	}
 
-	return []byte(strconv.Itoa(s.version) + " " + s.without), int64(s.version), nil
+	return b, version, nil
+}
+
+// waits reports whether the store has nothing newer than an offset.
+func (s *site) waits(from int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return !s.away && int64(s.version) == from
 }
 
 func (s *site) next(ctx context.Context, from int64, wait time.Duration) ([]byte, int64, error) {
-	for until := time.Now().Add(wait); time.Now().Before(until) && int64(s.version) == from && !s.away; {
+	for until := time.Now().Add(wait); time.Now().Before(until) && s.waits(from); {
 		time.Sleep(10 * time.Millisecond)
 	}
-	if !s.away && int64(s.version) == from {
+	if s.waits(from) {
 		return nil, from, nil
 	}
 
@@ -116,6 +133,8 @@
 
 // ask tells what another VM knows, with the age of its proof.
 func (s *site) ask(_ context.Context, have int64) ([]byte, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.peer == 0 {
 		return nil, 0, errors.New("no other VM answers")
 	}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -36,9 +36,7 @@
 		// CrossLives lets an order that is done late reach a life of the worker
 		// that began after the order was sent.
 		CrossLives bool
-		// Strange are runs that workers list though they have none such, by worker.
-		Strange map[string][]target.Run
-		Roll    func() float64
+		Roll       func() float64
 		// Outcome tells how long a run works and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 
@@ -48,6 +46,7 @@
 		changes []string // workers whose entries changed
 		late    float64  // share of the orders that get no answer and are done later
 		lost    float64  // share of the orders that are done and not answered
+		strange map[string][]target.Run
 	}
 
 	// Worker is one emulated worker.
@@ -165,6 +164,20 @@
 	f.workers[id].cut = cut
 }
 
+// SetOutcome changes how long runs work and how they end, from the next start on.
+func (f *Fleet) SetOutcome(outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Outcome = outcome
+}
+
+// SetStrange sets the runs that workers list though they have none such, by worker.
+func (f *Fleet) SetStrange(runs map[string][]target.Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.strange = runs
+}
+
 // SetOrders sets the shares of orders that are done late and not answered.
 func (f *Fleet) SetOrders(late, lost float64) {
 	f.mu.Lock()
@@ -408,7 +421,7 @@
 		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.saved(), Percent: a.progress(), Usage: f.usage(w, a)})
 	}
 
-	r.Running = append(r.Running, f.Strange[w.ID]...)
+	r.Running = append(r.Running, f.strange[w.ID]...)
 
 	return r
 }
