End a broken run when its last member is found missing

Cause: markBroken returned early for a run that already had a reason, so a member found missing later ended nothing; checkFullReport passed over a run of which any member had been reported since the request, and compared with a time that stopping a run resets.

TestBrokenRun (testdata/broken) fails each time at its first, third and fourth case without one half or the other. A full report now counts against a run that was known to run before the report was requested.

--- a/internal/run/planner/runs.go
+++ b/internal/run/planner/runs.go
@@ -41,6 +41,7 @@
 		lastRequest         time.Time // when the members were last asked to checkpoint or stop
 		lastReport          time.Time // when a member was last reported
 		startedAt           time.Time
+		runningSince        time.Time // when this session learnt that the members have started
 	}
 )
 
@@ -144,7 +145,8 @@
 // stop or checkpoint that was requested while it was starting.
 func (s *session) onRunning(r *run) {
 	r.phase = phaseRunning
-	r.lastReport = s.p.Timer.Now()
+	r.runningSince = s.p.Timer.Now()
+	r.lastReport = r.runningSince
 	for i, m := range r.gang.Members {
 		if r.tasks[i].State == "" || !r.tasks[i].State.HasStarted() {
 			r.tasks[i] = worker.Task{Token: m.Token, Key: r.key, Member: i, State: worker.Running}
@@ -266,9 +268,14 @@
 }
 
 // markBroken stops a run that can no longer complete, for example because a member is
-// lost.
+// lost. A run that is already being stopped ends if this was its last member.
 func (s *session) markBroken(r *run, name, reason string) {
-	if r.reason != "" || r.phase == phaseEnded {
+	if r.reason != "" {
+		s.evaluate(r)
+
+		return
+	}
+	if r.phase == phaseEnded {
 		return
 	}
 	r.reason = reason
--- a/internal/run/planner/workers.go
+++ b/internal/run/planner/workers.go
@@ -109,13 +109,13 @@
 	w.confirm, w.discard = nil, nil
 	go func() {
 		rep, err := s.p.calls.Renew(s.ctx, w.name, req)
-		s.send(func(s *session) { s.onRenewReply(w, req, rep, err) })
+		s.send(func(s *session) { s.onRenewReply(w, now, req, rep, err) })
 	}()
 }
 
-// onRenewReply handles a worker's reply to a renewal. After an error, the confirmations
+// onRenewReply handles a worker's reply to a renewal sent at the given time. After an error, the confirmations
 // and the results to discard are queued for the next renewal.
-func (s *session) onRenewReply(w *workerStatus, req worker.RenewRequest, rep worker.Report, err error) {
+func (s *session) onRenewReply(w *workerStatus, requested time.Time, req worker.RenewRequest, rep worker.Report, err error) {
 	w.renewing = false
 	w.renewalTried = true
 	if err != nil {
@@ -136,7 +136,7 @@
 		s.onTaskReport(w, t)
 	}
 	if rep.Full {
-		s.checkFullReport(w, rep.Tasks)
+		s.checkFullReport(w, requested, rep.Tasks)
 	}
 	s.updateUsable(w)
 }
@@ -203,15 +203,14 @@
 
 // checkFullReport breaks the gangs that have an unfinished member on the worker whose
 // token is missing from the worker's full report: the worker no longer knows the token.
-func (s *session) checkFullReport(w *workerStatus, tasks []worker.Task) {
+// A gang that has started since the report was requested may be missing from it.
+func (s *session) checkFullReport(w *workerStatus, requested time.Time, tasks []worker.Task) {
 	known := make(map[string]bool, len(tasks))
 	for _, t := range tasks {
 		known[t.Token] = true
 	}
 	for _, r := range s.runs {
-		if r.phase == phaseStarting || !r.lastReport.Before(w.lastRequest) {
-			// The run has started, or one of its members has been reported, since the
-			// full report was requested. The full report may be the older information.
+		if r.phase == phaseStarting || !r.runningSince.Before(requested) {
 			continue
 		}
 		for i, m := range r.gang.Members {
