Reserve workers for every gang that does not fit, by its expected start

Load: gangs of whole workers beside many small tasks.

Change: a gang that does not fit reserves the workers on which it is expected to start first, by the expected ends of the runs there (progress, else usual run time). Other work goes there only if it is expected to end before, or fits beside (backfill). Reservations are made anew in each decision, in the order of the ranks. Spare workers stay closed to a gang until it has waited for 12 s, as before. What eviction frees is called a claim now.

Hypothesis: wide gangs start sooner and nothing else waits noticeably longer.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -14,8 +14,8 @@
 }
 
 // evict selects the cheapest plan that evicts lower-priority runs to make room for all
-// tasks of a unit, and reserves the workers for it. Without such a plan it does nothing.
-func evict(workers []Worker, racks []rack, u *Unit, r *Result) {
+// tasks of a unit, and claims the workers for it. It reports whether there is such a plan.
+func evict(workers []Worker, racks []rack, u *Unit, r *Result) bool {
 	var best *evictionPlan
 	if u.SameRack {
 		for i := range racks {
@@ -28,7 +28,7 @@
 		best = planEviction(workers, allWorkers(workers), u, r)
 	}
 	if best == nil {
-		return
+		return false
 	}
 	for g := range best.groups {
 		if !slices.Contains(r.Evicted, g) {
@@ -37,9 +37,11 @@
 	}
 	slices.Sort(r.Evicted)
 	for _, w := range best.byTask {
-		r.Reservations[w] = u.Name
-		workers[w].ReservedFor = u.Name
+		r.Claims[w] = u.Name
+		workers[w].ClaimedBy = u.Name
 	}
+
+	return true
 }
 
 // planEviction returns the evictions that let all tasks of a unit run on the candidate
@@ -101,7 +103,7 @@
 		switch {
 		case run.Ending || selected[run.Group]:
 			free = free.Plus(run.Need)
-		case run.Priority > u.Priority:
+		case run.Priority > u.Priority && !run.Placed:
 			evictable = append(evictable, run)
 		}
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -1,10 +1,11 @@
 // Package placement places waiting tasks on workers, evicts runs of lower priority
-// and reserves workers for gangs that have waited long. It has no clock and no I/O.
+// and reserves workers for gangs that do not fit yet. It has no clock and no I/O.
 package placement
 
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"sesameyoke/internal/core/work"
 )
@@ -16,7 +17,10 @@
 		Priority int
 		LostWork float64 // core-seconds of work that are lost if the group is stopped
 		Ending   bool    // the run is already being stopped
+		Placed   bool    // placed in this decision: it has not started and is not evicted
 		Need     work.Shape
+
+		Remaining time.Duration // expected time until it ends
 	}
 
 	// Worker is a worker as the placement sees it.
@@ -29,34 +33,38 @@
 		Schedulable  bool    // accepts new runs
 		Penalty      float64 // placement cost because of recent failures; 0 for none
 		Slowdown     float64 // run time relative to the usual one; 1 is usual, 0 is unknown
-		ReservedFor  string  // unit that the worker is reserved for; empty for none
+		ClaimedBy    string  // unit that capacity was freed for by eviction; empty for none
 		NoBestEffort bool    // accepts no best-effort tasks
 		CPUDemand    float64 // CPU demand of its runs as a share of its CPU capacity; may exceed 1
 		SpareBelow   int     // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
+
+		reserved *reservation // made in this decision
 	}
 
 	// Unit is a gang, or tasks of a step that may start independently.
 	Unit struct {
-		Name           string
-		Service        string // only workers of this service may run the unit
-		Tasks          []int
-		Need           work.Shape
-		Gang           bool
-		SameRack       bool         // a gang must be on a single rack
-		Label          string       // label that a worker must have; empty for none
-		DataRack       string       // rack that holds the data; empty for none
-		DataRackOnly   bool         // may run only on the rack that holds the data
-		MaxPerWorker   int          // maximum number of the step's tasks per worker; 0 for no limit
-		BestEffort     bool         // best-effort: uses the CPU time that other tasks leave idle
-		Placed         map[int]int  // number of the step's tasks that already hold capacity, by worker
-		Avoid          map[int]bool // workers to exclude, such as those on which the job has failed
-		Allowed        map[int]bool // the only workers that may run the unit; nil for any
-		Priority       int
-		SpeedWeight    float64 // placement cost per unit of slowdown above 1
-		HasReservation bool    // some worker is reserved for the unit
-		Overdue        bool    // has waited long: may use spare workers and get a reservation
-		MayEvict       bool    // may evict runs of a lower priority
+		Name         string
+		Service      string // only workers of this service may run the unit
+		Tasks        []int
+		Need         work.Shape
+		Gang         bool
+		SameRack     bool         // a gang must be on a single rack
+		Label        string       // label that a worker must have; empty for none
+		DataRack     string       // rack that holds the data; empty for none
+		DataRackOnly bool         // may run only on the rack that holds the data
+		MaxPerWorker int          // maximum number of the step's tasks per worker; 0 for no limit
+		BestEffort   bool         // best-effort: uses the CPU time that other tasks leave idle
+		Placed       map[int]int  // number of the step's tasks that already hold capacity, by worker
+		Avoid        map[int]bool // workers to exclude, such as those on which the job has failed
+		Allowed      map[int]bool // the only workers that may run the unit; nil for any
+		Priority     int
+		Length       time.Duration // expected run time of a task
+		Reserves     bool          // a gang that gets a reservation if it does not fit
+		SpeedWeight  float64       // placement cost per unit of slowdown above 1
+		HasClaim     bool          // some worker is claimed by the unit
+		UsesSpares   bool          // may use spare workers whatever its priority
+		MayEvict     bool          // may evict runs of a lower priority
 	}
 
 	// Placement puts one task on a worker.
@@ -68,9 +76,9 @@
 
 	// Result is the outcome of a decision.
 	Result struct {
-		Placements   []Placement
-		Evicted      []string       // groups to stop
-		Reservations map[int]string // new reservations: unit by worker
+		Placements []Placement
+		Evicted    []string       // groups to stop
+		Claims     map[int]string // workers claimed by eviction: unit by worker
 	}
 
 	// assignment is a tentative placement of one unit's tasks.
@@ -90,13 +98,13 @@
 )
 
 // Decide places units in the given order and subtracts what they need from the free
-// capacity of their workers. For units that do not fit it may evict runs or reserve workers.
+// capacity of their workers. For units that do not fit it may evict runs, or reserve workers for the time when they
+// are expected to fit.
 func Decide(workers []Worker, units []Unit) Result {
-	r := Result{Reservations: map[int]string{}}
+	r := Result{Claims: map[int]string{}}
 	racks := groupByRack(workers)
 	markSpare(workers, racks)
-	failed := map[requirement]int{}
-	reserved := slices.ContainsFunc(units, func(u Unit) bool { return u.Overdue && u.HasReservation })
+	failed := map[requirement]failure{}
 	for i := range units {
 		u := &units[i]
 		a := assignment{}
@@ -107,15 +115,14 @@
 			recordFailure(failed, u, len(a.byTask)+1)
 		}
 		for t, w := range a.byTask {
-			workers[w].Free = workers[w].Free.Minus(u.Need)
+			workers[w].occupy(u)
 			r.Placements = append(r.Placements, Placement{Unit: i, Task: u.Tasks[t], Worker: w})
 		}
-		if u.MayEvict && len(a.byTask) < len(u.Tasks) && (u.Gang || len(a.byTask) == 0) {
-			evict(workers, racks, u, &r)
+		if u.MayEvict && len(a.byTask) < len(u.Tasks) && (u.Gang || len(a.byTask) == 0) && evict(workers, racks, u, &r) {
+			continue
 		}
-		if u.Overdue && u.Gang && len(a.byTask) == 0 && !reserved {
-			reserve(workers, racks, u, &r)
-			reserved = true
+		if u.Reserves && u.Gang && len(a.byTask) == 0 && !u.HasClaim {
+			reserve(workers, racks, u)
 		}
 	}
 
@@ -125,13 +132,13 @@
 // requirement is the key under which units with equal placement constraints share
 // the result of a failed placement in one decision.
 type requirement struct {
-	need     work.Shape
-	service  string
-	sameRack bool
-	label    string
-	rack     string
-	priority int
-	overdue  bool
+	need       work.Shape
+	service    string
+	sameRack   bool
+	label      string
+	rack       string
+	priority   int
+	usesSpares bool
 }
 
 // requirement returns the unit's key. The result is false if the key does not cover
@@ -143,29 +150,35 @@
 		rack = u.DataRack
 	}
 
-	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, overdue: u.Overdue}, complete
+	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, usesSpares: u.UsesSpares}, complete
+}
+
+// failure is the smallest unit with a requirement that has not fit.
+type failure struct {
+	tasks  int
+	length time.Duration
 }
 
 // cannotFit reports whether a unit with the same requirement and at most as many tasks
 // has already failed to fit in this decision. Free capacity only shrinks during a
 // decision, so another attempt would fail too.
-func cannotFit(failed map[requirement]int, u *Unit) bool {
+func cannotFit(failed map[requirement]failure, u *Unit) bool {
 	key, complete := u.requirement()
-	n, ok := failed[key]
-	if !complete || !ok || u.HasReservation {
+	f, ok := failed[key]
+	if !complete || !ok || u.HasClaim || u.Length < f.length {
 		return false
 	}
 	if u.Gang {
-		return len(u.Tasks) >= n
+		return len(u.Tasks) >= f.tasks
 	}
 
-	return n == 1
+	return f.tasks == 1
 }
 
 // recordFailure records that n tasks with the unit's requirement do not fit.
-func recordFailure(failed map[requirement]int, u *Unit, n int) {
+func recordFailure(failed map[requirement]failure, u *Unit, n int) {
 	key, complete := u.requirement()
-	if !complete || u.HasReservation {
+	if !complete || u.HasClaim {
 		return
 	}
 	if u.Gang {
@@ -173,8 +186,8 @@
 	} else if n > 1 {
 		n = 1 // some tasks were placed, and not even one more fits
 	}
-	if old, ok := failed[key]; !ok || n < old {
-		failed[key] = n
+	if old, ok := failed[key]; !ok || (n <= old.tasks && u.Length <= old.length) {
+		failed[key] = failure{n, u.Length}
 	}
 }
 
@@ -353,7 +366,9 @@
 	switch {
 	case !w.Schedulable, u.Avoid[i], u.Allowed != nil && !u.Allowed[i]:
 		return false
-	case w.ReservedFor != "" && w.ReservedFor != u.Name, w.SpareBelow > 0 && u.Priority >= w.SpareBelow && !u.Overdue:
+	case w.ClaimedBy != "" && w.ClaimedBy != u.Name, w.SpareBelow > 0 && u.Priority >= w.SpareBelow && !u.UsesSpares:
+		return false
+	case w.delaysReservation(u, a.perWorker[i]):
 		return false
 	case w.Service != u.Service, u.BestEffort && w.NoBestEffort:
 		return false
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -39,7 +39,8 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [group:priority:accelerators:lost ...]".
+// readWorkers parses lines of the form "rack free/capacity [group:priority:accelerators:lost[:seconds] ...]",
+// where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
 	for line := range strings.SplitSeq(input, "\n") {
@@ -54,6 +55,9 @@
 			run.Group = p[0]
 			_, err := fmt.Sscanf(strings.Join(p[1:], " "), "%d %d %f", &run.Priority, &free, &run.LostWork)
 			require.NoError(t, err)
+			if len(p) > 4 {
+				run.Remaining = seconds(t, p[4])
+			}
 			run.Need = shape(free)
 			w.Runs = append(w.Runs, run)
 		}
@@ -63,10 +67,17 @@
 	return ws
 }
 
+func seconds(t *testing.T, s string) time.Duration {
+	d, err := time.ParseDuration(s + "s")
+	require.NoError(t, err)
+
+	return d
+}
+
 func shape(n int) work.Shape { return work.Shape{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n} }
 
 // decide parses units from lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
-// [overdue] [priority=N] [near=RACK] [spread=N]" and returns the decision as text.
+// [reserves] [spares] [priority=N] [length=SECONDS] [near=RACK] [spread=N]" and returns the decision as text.
 func decide(t *testing.T, ws []placement.Worker, input string) string {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -87,8 +98,12 @@
 				u.SameRack = true
 			case "evicts":
 				u.MayEvict = true
-			case "overdue":
-				u.Overdue = true
+			case "spares":
+				u.UsesSpares = true
+			case "reserves":
+				u.Reserves = true
+			case "length":
+				u.Length = seconds(t, v)
 			case "near":
 				u.DataRack, u.DataRackOnly = v, true
 			case "priority":
@@ -111,8 +126,8 @@
 
 	if len(r.Evicted) == 0 {
 		for w := range ws {
-			if name, ok := r.Reservations[w]; ok {
-				out = append(out, fmt.Sprintf("reserve %d for %s", w, name))
+			if name, ok := r.Claims[w]; ok {
+				out = append(out, fmt.Sprintf("claim %d for %s", w, name))
 			}
 		}
 	}
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -1,62 +1,150 @@
 package placement
 
-import "slices"
-
-// reserve reserves the least busy workers for a gang that has waited long. Without a
-// reservation, small tasks could take every accelerator that becomes free and starve it.
-func reserve(workers []Worker, racks []rack, u *Unit, r *Result) {
-	var (
-		best     []int
-		bestBusy int
-	)
-	candidateSets := [][]int{allWorkers(workers)}
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesameyoke/internal/core/work"
+)
+
+type (
+	// reservation holds capacity of a worker for a gang that is expected to start there later.
+	reservation struct {
+		unit string
+		need work.Shape
+		at   time.Duration // expected start, from now
+		left work.Shape    // what other runs may still hold then
+	}
+
+	// slot is capacity for one task, with the time until it is expected to be free.
+	slot struct {
+		worker int
+		at     time.Duration
+	}
+)
+
+// reserve reserves capacity for a gang that does not fit, where it is expected to start first.
+// It answers a load of wide gangs beside many small tasks: without a reservation, small tasks
+// take every accelerator that becomes free. Tasks that are expected to end before the gang
+// starts may use the capacity until then (backfill).
+func reserve(workers []Worker, racks []rack, u *Unit) {
+	var best []slot
 	if u.SameRack {
-		candidateSets = candidateSets[:0]
 		for i := range racks {
-			candidateSets = append(candidateSets, racks[i].workers)
+			if s := earliestSlots(workers, racks[i].workers, u); s != nil && (best == nil || s[len(s)-1].at < best[len(best)-1].at) {
+				best = s
+			}
 		}
+	} else {
+		best = earliestSlots(workers, allWorkers(workers), u)
 	}
-	for _, ws := range candidateSets {
-		picked, busy := leastBusy(workers, ws, u)
-		if picked != nil && (best == nil || busy < bestBusy) {
-			best, bestBusy = picked, busy
-		}
+	if best == nil {
+		return
 	}
-	for _, w := range best {
-		r.Reservations[w] = u.Name
-		workers[w].ReservedFor = u.Name
+	at := best[len(best)-1].at
+	for _, s := range best {
+		w := &workers[s.worker]
+		if w.reserved == nil {
+			w.reserved = &reservation{unit: u.Name, at: at, left: w.freeAt(at)}
+		}
+		w.reserved.need = w.reserved.need.Plus(u.Need)
+		w.reserved.left = w.reserved.left.Minus(u.Need)
 	}
 }
 
-// leastBusy selects candidate workers, those with the most free accelerators first, until
-// the unit would fit on them if they were idle. It returns them with the number of their
-// accelerators in use, or nil if the unit does not fit.
-func leastBusy(workers []Worker, candidates []int, u *Unit) (picked []int, busy int) {
-	order := slices.Clone(candidates)
-	slices.SortStableFunc(order, func(a, b int) int { return workers[b].Free.Accelerators - workers[a].Free.Accelerators })
-	left := len(u.Tasks)
-	for _, i := range order {
+// earliestSlots returns the slots for all tasks of a unit that are free first, in the order
+// of their times, or nil if the candidates cannot hold the unit.
+func earliestSlots(workers []Worker, candidates []int, u *Unit) []slot {
+	var all []slot
+	for _, i := range candidates {
 		w := &workers[i]
-		if left <= 0 {
-			break
+		if w.reserved != nil || !u.Need.Fits(w.Capacity) || !allowed(w, i, u, &assignment{}) {
+			continue
 		}
-		if !allowed(w, i, u, &assignment{}) || !u.Need.Fits(w.Capacity) {
+		most := len(u.Tasks)
+		if u.MaxPerWorker > 0 {
+			most = min(most, u.MaxPerWorker-u.Placed[i])
+		}
+		all = w.addSlots(all, i, u.Need, most)
+	}
+	if len(all) < len(u.Tasks) {
+		return nil
+	}
+	slices.SortStableFunc(all, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+
+	return all[:len(u.Tasks)]
+}
+
+// addSlots appends the worker's slots for tasks of the given need, at most the given number.
+func (w *Worker) addSlots(slots []slot, i int, need work.Shape, most int) []slot {
+	w.sortRuns()
+	free, n, at := w.Free, 0, time.Duration(0)
+	for next := 0; n < most; {
+		if need.Fits(free) {
+			free = free.Minus(need)
+			slots = append(slots, slot{i, at})
+			n++
+
 			continue
 		}
-		n := 0
-		for unused := w.Capacity; u.Need.Fits(unused) && n < left; n++ {
-			unused = unused.Minus(u.Need)
+		if next == len(w.Runs) {
+			break
 		}
-		if u.MaxPerWorker > 0 {
-			n = min(n, u.MaxPerWorker)
+		free = free.Plus(w.Runs[next].Need)
+		at = max(at, w.Runs[next].Remaining)
+		next++
+	}
+
+	return slots
+}
+
+// sortRuns sorts the worker's runs by their expected ends.
+func (w *Worker) sortRuns() {
+	byEnd := func(a, b Run) int { return cmp.Compare(a.Remaining, b.Remaining) }
+	if !slices.IsSortedFunc(w.Runs, byEnd) {
+		slices.SortStableFunc(w.Runs, byEnd)
+	}
+}
+
+// freeAt returns the capacity that is expected to be free at a time from now.
+func (w *Worker) freeAt(at time.Duration) work.Shape {
+	free := w.Free
+	for _, r := range w.Runs {
+		if r.Remaining <= at {
+			free = free.Plus(r.Need)
 		}
-		left -= n
-		picked = append(picked, i)
-		busy += w.Capacity.Accelerators - w.Free.Accelerators
 	}
-	if left > 0 {
-		return nil, 0
+
+	return free
+}
+
+// delaysReservation reports whether one more task of a unit, beside n of them, would delay the
+// gang that the worker is reserved for.
+func (w *Worker) delaysReservation(u *Unit, n int) bool {
+	r := w.reserved
+	if r == nil || r.unit == u.Name || w.expectedLength(u) <= r.at {
+		return false
+	}
+
+	return !scale(u.Need, n+1).Fits(r.left)
+}
+
+// expectedLength returns the expected run time of a unit's task on the worker.
+func (w *Worker) expectedLength(u *Unit) time.Duration {
+	if w.Slowdown == 0 {
+		return u.Length
 	}
 
-	return picked, busy
+	return time.Duration(float64(u.Length) * w.Slowdown)
+}
+
+// occupy takes capacity of the worker for a task of a unit.
+func (w *Worker) occupy(u *Unit) {
+	w.Free = w.Free.Minus(u.Need)
+	length := w.expectedLength(u)
+	if w.reserved != nil && w.reserved.unit != u.Name && length > w.reserved.at {
+		w.reserved.left = w.reserved.left.Minus(u.Need)
+	}
+	w.Runs = append(slices.Clip(w.Runs), Run{Group: u.Name, Priority: u.Priority, Need: u.Need, Remaining: length, Placed: true})
 }
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	fullPercent = 100
+	// Time until the end of a run that is being stopped or should have ended.
+	endingTime = 200 * time.Millisecond
 	// An accelerator counts as this many cores.
 	accelCores = 8
 	// A serving task counts as 1/2 of its worker's CPU in addition to its need, which keeps
@@ -38,7 +41,7 @@
 		f.index[name] = i
 		pw := e.workers[name].toPlacementWorker(now)
 		pw.Schedulable = pw.Schedulable && !barred[name]
-		pw.ReservedFor = e.claimingUnit(name, now)
+		pw.ClaimedBy = e.claimingUnit(name, now)
 		for _, m := range e.workers[name].members() {
 			if !m.unit.job.Steps[m.unit.step].LongRunning || m.unit.aborted {
 				pw.Runs = append(pw.Runs, e.toPlacementRun(m, now))
@@ -113,7 +116,7 @@
 // work is that of the whole unit, because a gang ends with any of its members.
 func (e *Engine) toPlacementRun(m *member, now time.Duration) placement.Run {
 	u := m.unit
-	r := placement.Run{Group: u.name, Need: m.demand(), Priority: e.queuePolicy(u.job.Queue).Priority, Ending: u.aborted || u.done}
+	r := placement.Run{Group: u.name, Need: m.demand(), Priority: e.queuePolicy(u.job.Queue).Priority, Ending: u.aborted || u.done, Remaining: e.expectedRemaining(m, now)}
 	for _, o := range u.members {
 		r.LostWork += o.lostWork(now)
 	}
@@ -121,6 +124,28 @@
 	return r
 }
 
+// expectedRemaining returns the expected time until a member's run ends: by its progress if
+// that is known, else by the usual run time.
+func (e *Engine) expectedRemaining(m *member, now time.Duration) time.Duration {
+	u := m.unit
+	if u.aborted || u.done {
+		return endingTime
+	}
+	length := time.Duration(float64(e.expectedRunTime(u.job, u.step)) * m.worker.slowdown(now))
+	if m.began == 0 {
+		return length
+	}
+	elapsed := now - m.began
+	if l := m.track.Length(); l > 0 {
+		return max(endingTime, l*time.Duration(fullPercent-m.track.Percent())/fullPercent-(now-m.worker.clockAt))
+	}
+	if elapsed >= length {
+		return max(endingTime, elapsed/4)
+	}
+
+	return max(endingTime, length-elapsed)
+}
+
 // lostWork returns the core-seconds of work that stopping the run would discard.
 func (m *member) lostWork(now time.Duration) float64 {
 	if m.began == 0 || m.phase == released {
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	overdueAfter = 12 * time.Second // jobs that have waited longer may use workers reserved for urgent work
+	spareAfter = 12 * time.Second // jobs that have waited longer may use the workers spared for urgent work
 )
 
 type (
@@ -52,7 +52,7 @@
 			e.Count("evictions", 1)
 		}
 	}
-	for w, name := range r.Reservations {
+	for w, name := range r.Claims {
 		e.claims[f.names[w]] = claim{unit: name, until: e.SinceBoot() + e.Timing.ClaimTTL}
 	}
 	e.commitPlacements(cands, r.Placements, f)
@@ -123,7 +123,8 @@
 	inputs := e.rankInputs(j, occur, guaranteed)
 	c := candidate{job: j, occur: occur, step: step, tickets: tickets, rank: placement.Rank(inputs, j.waitingSince(occur, e.Now(), e.SinceBoot()))}
 	c.unit = e.toPlacementUnit(j, occur, step, tasks)
-	c.unit.Overdue = waited >= overdueAfter
+	c.unit.UsesSpares = waited >= spareAfter
+	c.unit.Reserves = st.Gang
 	c.unit.MayEvict = guaranteed && waited >= e.Timing.EvictAfter
 
 	return append(cands, c)
@@ -136,7 +137,7 @@
 	return placement.Unit{
 		Name: unitName(j, occur, step, 0), Service: q.Service, Tasks: tasks, Need: demand(st), Gang: st.Gang, SameRack: st.SameRack && st.Gang,
 		Label: st.Label, DataRack: st.Rack, DataRackOnly: st.Rack != "", MaxPerWorker: st.MaxPerWorker, Priority: q.Priority, SpeedWeight: speedWeight(q.Priority),
-		BestEffort: st.BestEffort,
+		BestEffort: st.BestEffort, Length: e.expectedRunTime(j, step),
 	}
 }
 
@@ -190,7 +191,7 @@
 	}
 	for name, held := range e.claims {
 		if _, ok := f.index[name]; ok && held.unit == c.unit.Name {
-			c.unit.HasReservation, c.unit.MayEvict = true, false
+			c.unit.HasClaim, c.unit.MayEvict = true, false
 		}
 	}
 	e.relaxConstraints(c, f)
--- a/internal/run/planner/broken_test.go
+++ b/internal/run/planner/broken_test.go
@@ -28,7 +28,6 @@
 	run       *run
 	seconds   atomic.Int64         // time since epoch
 	requested map[string]time.Time // when the renewal in flight was sent, by worker
-	answer    string
 }
 
 // TestBrokenRun runs the script in testdata/broken. It guards against jobs that are never
