Replay prints a bound that no policy can pass

The bound follows from the accelerator time of the jobs that arrive and have to end within an interval.

--- a/internal/run/engine/replay_test.go
+++ b/internal/run/engine/replay_test.go
@@ -1,12 +1,14 @@
 package engine_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,12 +25,14 @@
 )
 
 const (
-	replaySeeds    = 1                // number of seeds of each load; SESAMEYOKE_SEEDS sets another one
-	extraTrackTime = 25 * time.Second // a job is tracked for this long after the latest end that earns credit
-	accelCores     = 8                // an accelerator counts as this many cores
-	lateFactor     = 3                // a job earns credit if it ends within this many times its objective
-	baseCredit     = 0.3              // part of a job's credit that does not depend on its size, as a multiple of its kind's worth
-	maxCredit      = 4.0              // upper bound of a job's credit, as a multiple of its kind's worth
+	replaySeeds        = 1                // number of seeds of each load; SESAMEYOKE_SEEDS sets another one
+	extraTrackTime     = 25 * time.Second // a job is tracked for this long after the latest end that earns credit
+	accelCores         = 8                // an accelerator counts as this many cores
+	lateFactor         = 3                // a job earns credit if it ends within this many times its objective
+	baseCredit         = 0.3              // part of a job's credit that does not depend on its size, as a multiple of its kind's worth
+	workerAccelerators = 8                // accelerators of each worker
+	longestInterval    = 60               // longest interval over which the lost credit is bounded, in seconds
+	maxCredit          = 4.0              // upper bound of a job's credit, as a multiple of its kind's worth
 )
 
 type (
@@ -91,6 +95,7 @@
 		lengths []float64 // run times in seconds, by task
 		poison  bool
 		cancel  float64 // seconds after arrival; 0 for never
+		atStake float64 // credit that is lost if the job ends after its objective
 		done    time.Duration
 		sent    time.Duration
 	}
@@ -98,6 +103,7 @@
 	// score is the result of replaying a load.
 	score struct {
 		owed, earned map[string]float64 // credit, by kind
+		bound        float64            // share of the credit that no policy can exceed
 		wasted       float64            // core-seconds of discarded work
 		capacity     float64            // core-seconds of all workers
 		late         int
@@ -126,8 +132,8 @@
 // check replays a load with several seeds and compares the mean scores with its bounds.
 func (l *load) check(t *testing.T, name string, seeds int) {
 	var (
-		lock          sync.Mutex
-		worth, wasted float64
+		lock                 sync.Mutex
+		worth, bound, wasted float64
 	)
 	figures := os.Getenv("SESAMEYOKE_FIGURES") != ""
 	t.Run("seeds", func(t *testing.T) {
@@ -139,6 +145,7 @@
 					lock.Lock()
 					defer lock.Unlock()
 					worth += s.worth() / float64(seeds)
+					bound += s.bound / float64(seeds)
 					wasted += s.wasted / s.capacity / float64(seeds)
 					if figures {
 						fmt.Printf("load=%s seed=%d %s\n", name, seed, s)
@@ -148,8 +155,9 @@
 		}
 	})
 	if figures {
-		fmt.Printf("load=%s seeds=%d worth=%.3f wasted=%.3f net=%.3f\n", name, seeds, worth, wasted, worth-wasted)
+		fmt.Printf("load=%s seeds=%d worth=%.3f bound=%.3f wasted=%.3f net=%.3f\n", name, seeds, worth, bound, wasted, worth-wasted)
 	}
+	require.LessOrEqual(t, worth, bound)
 	require.GreaterOrEqual(t, worth, l.Worth)
 	require.LessOrEqual(t, wasted, l.Wasted)
 }
@@ -177,7 +185,7 @@
 		byID[a.ID] = a
 	}
 	for i := range l.Workers {
-		r.fleet.Add(fmt.Sprintf("k%03d", i), "s", fmt.Sprintf("r%02d", i/l.Rack), work.Shape{CPU: l.CPU, Memory: l.Memory, Accelerators: 8})
+		r.fleet.Add(fmt.Sprintf("k%03d", i), "s", fmt.Sprintf("r%02d", i/l.Rack), work.Shape{CPU: l.CPU, Memory: l.Memory, Accelerators: workerAccelerators})
 	}
 	r.fleet.Outcome = func(task work.Task, _ int64, _ string) (time.Duration, target.How) {
 		a := byID[task.Job]
@@ -372,7 +380,7 @@
 // score adds up the credit of the jobs and the discarded work.
 func (l *load) score(r *rig, all []*arrival) score {
 	s := score{owed: map[string]float64{}, earned: map[string]float64{}}
-	s.capacity = float64(l.Workers) * cores(work.Shape{CPU: l.CPU, Accelerators: 8}) * l.Seconds
+	s.capacity = float64(l.Workers) * cores(work.Shape{CPU: l.CPU, Accelerators: workerAccelerators}) * l.Seconds
 	byID, mean, n := map[string]*arrival{}, map[string]float64{}, map[string]float64{}
 	for _, a := range all {
 		byID[a.ID] = a
@@ -386,6 +394,7 @@
 		k := a.kind.Name
 		credit := min(maxCredit, baseCredit+(1-baseCredit)*a.coreSeconds()/(mean[k]/n[k]))
 		s.owed[k] += credit * a.kind.Worth
+		a.atStake = credit * (a.kind.Worth - a.kind.Late)
 		switch {
 		case a.done == 0 || a.done > lateFactor*a.objective():
 		case a.done <= a.objective():
@@ -395,6 +404,7 @@
 			s.late++
 		}
 	}
+	s.bound = 1 - l.unavoidableLoss(all)/s.total(s.owed)
 	for _, e := range r.fleet.Runs() {
 		a := byID[e.Task.Job]
 		if e.How != target.Done && !e.To.IsZero() && a.cancel == 0 && !a.poison && !a.Steps[0].Checkpoints {
@@ -406,14 +416,67 @@
 }
 
 // worth returns the share of the credit that was earned.
-func (s score) worth() float64 {
-	owed, earned := 0.0, 0.0
-	for k := range s.owed {
-		owed += s.owed[k]
-		earned += s.earned[k]
+func (s score) worth() float64 { return s.total(s.earned) / s.total(s.owed) }
+
+// total sums credit over the kinds.
+func (s score) total(credit map[string]float64) float64 {
+	sum := 0.0
+	for _, c := range credit {
+		sum += c
+	}
+
+	return sum
+}
+
+// unavoidableLoss returns a lower bound of the credit that every policy loses. Jobs that arrive
+// and have to end within an interval share the accelerators of that interval; if they need
+// more, those with the least credit for an accelerator's time end late. The bound is the
+// largest loss of any interval.
+func (l *load) unavoidableLoss(all []*arrival) float64 {
+	worst := 0.0
+	for from := range int(l.Seconds) + 4 {
+		for length := 1; length <= longestInterval; length++ {
+			worst = max(worst, l.lossWithin(all, float64(from), float64(from+length)))
+		}
+	}
+
+	return worst
+}
+
+// lossWithin returns a lower bound of the credit lost on jobs that arrive and have to end
+// between two times, in seconds.
+func (l *load) lossWithin(all []*arrival, from, to float64) float64 {
+	var within []*arrival
+	excess := -float64(l.Workers) * workerAccelerators * (to - from)
+	for _, a := range all {
+		if !a.poison && a.cancel == 0 && a.sent.Seconds() >= from && (a.sent+a.objective()).Seconds() <= to {
+			within = append(within, a)
+			excess += a.acceleratorSeconds()
+		}
+	}
+	slices.SortFunc(within, func(a, b *arrival) int {
+		return cmp.Compare(a.atStake*b.acceleratorSeconds(), b.atStake*a.acceleratorSeconds())
+	})
+	loss := 0.0
+	for _, a := range within {
+		if excess <= 0 {
+			break
+		}
+		loss += a.atStake * min(1, excess/a.acceleratorSeconds())
+		excess -= a.acceleratorSeconds()
+	}
+
+	return loss
+}
+
+// acceleratorSeconds returns the time that a job needs, summed over its accelerators.
+func (a *arrival) acceleratorSeconds() float64 {
+	sum := 0.0
+	for _, l := range a.lengths {
+		sum += l
 	}
 
-	return earned / owed
+	return sum * float64(a.Steps[0].Need.Accelerators)
 }
 
 func (s score) String() string {
