Let urgent work evict beyond its workspace's guarantee

Load: bursts of urgent gangs of up to 8 whole workers, wider than their workspace's guarantee. Cause: only guaranteed jobs might evict; these gangs waited 6 to 24 s for an objective of some 4 s, and many were never served.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -4,8 +4,12 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
+// preemptingPriority is the priority of queues whose work may evict runs of other queues.
+const preemptingPriority = 0
+
 // evictionPlan lists the runs to stop for a unit and the workers on which it runs afterwards.
 type evictionPlan struct {
 	groups map[string]bool // groups of runs to stop
@@ -13,6 +17,14 @@
 	byTask []int           // worker by position in Unit.Tasks
 }
 
+// MayEvict reports whether a unit that has waited for the given time may evict runs of a lower
+// priority. It answers a burst of urgent gangs that are wider than their workspace's guarantee:
+// while lower priorities hold a part of every worker, such a gang would wait many times its
+// objective.
+func MayEvict(priority int, waited, evictAfter time.Duration) bool {
+	return priority == preemptingPriority && waited >= evictAfter
+}
+
 // evict selects the cheapest plan that evicts lower-priority runs to make room for all
 // tasks of a unit, and claims the workers for it. It reports whether there is such a plan.
 func evict(workers []Worker, racks []rack, u *Unit, r *Result) bool {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -31,6 +31,8 @@
 				return decide(t, slices.Clone(workers), d.Input)
 			case "rank":
 				return rank(t, d)
+			case "mayevict":
+				return mayEvict(t, d)
 			}
 			t.Fatalf("unknown command %q", d.Cmd)
 
@@ -148,6 +150,16 @@
 	return fmt.Sprint(placement.Rank(s, 0))
 }
 
+// mayEvict parses arguments of the form "priority=N waited=MS after=MS".
+func mayEvict(t *testing.T, d *datadriven.TestData) string {
+	var priority, waited, after int
+	d.ScanArgs(t, "priority", &priority)
+	d.ScanArgs(t, "waited", &waited)
+	d.ScanArgs(t, "after", &after)
+
+	return fmt.Sprint(placement.MayEvict(priority, time.Duration(waited)*time.Millisecond, time.Duration(after)*time.Millisecond))
+}
+
 // TestDecideInvariants checks decisions on random fleets and units: no worker exceeds its
 // capacity or gets work while unschedulable, gangs are placed whole and on one rack if required,
 // and no unit exceeds its limit of tasks per worker.
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -125,7 +125,7 @@
 	c.unit = e.toPlacementUnit(j, occur, step, tasks)
 	c.unit.UsesSpares = waited >= spareAfter
 	c.unit.Reserves = st.Gang
-	c.unit.MayEvict = guaranteed && waited >= e.Timing.EvictAfter
+	c.unit.MayEvict = placement.MayEvict(q.Priority, waited, e.Timing.EvictAfter)
 
 	return append(cands, c)
 }
