A best-effort task that does not fit says nothing about other tasks

The key under which units share a failed placement left out that best-effort tasks keep off some workers: another task with the same need was not tried. The scripted case fails without the field.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -139,6 +139,7 @@
 	rack       string
 	priority   int
 	usesSpares bool
+	bestEffort bool
 }
 
 // requirement returns the unit's key. The result is false if the key does not cover
@@ -150,7 +151,7 @@
 		rack = u.DataRack
 	}
 
-	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, usesSpares: u.UsesSpares}, complete
+	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, usesSpares: u.UsesSpares, bestEffort: u.BestEffort}, complete
 }
 
 // failure is the smallest unit with a requirement that has not fit.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [group:priority:accelerators:lost[:seconds] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -52,6 +52,11 @@
 		require.NoError(t, err)
 		w := placement.Worker{Rack: f[0], Labels: []string{f[0]}, Schedulable: true, Free: shape(free), Capacity: shape(capacity)}
 		for _, r := range f[2:] {
+			if r == "nobesteffort" {
+				w.NoBestEffort = true
+
+				continue
+			}
 			var run placement.Run
 			p := strings.Split(r, ":")
 			run.Group = p[0]
@@ -79,7 +84,7 @@
 func shape(n int) work.Shape { return work.Shape{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n} }
 
 // decide parses units from lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
-// [reserves] [spares] [priority=N] [length=SECONDS] [near=RACK] [spread=N]" and returns the decision as text.
+// [reserves] [spares] [besteffort] [priority=N] [length=SECONDS] [near=RACK] [spread=N]" and returns the decision as text.
 func decide(t *testing.T, ws []placement.Worker, input string) string {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -102,6 +107,8 @@
 				u.MayEvict = true
 			case "spares":
 				u.UsesSpares = true
+			case "besteffort":
+				u.BestEffort = true
 			case "reserves":
 				u.Reserves = true
 			case "length":
