--- a/internal/core/straggler/straggler.go
+++ b/internal/core/straggler/straggler.go
@@ -14,7 +14,7 @@
 	stallDuration = 4 * time.Second         // expected time until a stalled worker resumes
 	moveCost      = 600 * time.Millisecond  // time to stop a run and start it on another worker
 	moveFactor    = 1.3                     // minimum ratio of the remaining time without a move to that with one
-	leaveOverrun  = 3 * time.Second         // workers usually stay this much longer than announced
+	leaveLag      = 300 * time.Millisecond  // an announcement of leaving is this old when it is read
 	fullPercent   = 100
 )
 
@@ -171,18 +171,18 @@
 }
 
 // ShouldMove reports whether a run should be stopped and started on another worker: because
-// its worker leaves before the run ends, or because it ends sooner there by moveFactor.
-// For a run without checkpoints, which would start over, the worker is assumed to stay
-// leaveOverrun longer than announced.
+// its worker leaves before the run ends, or because it ends sooner there by moveFactor. It
+// answers workers that are taken away at short notice: one that is expected to stay longer than
+// announced throws away the work of a whole gang.
 func (r Run) ShouldMove() bool {
 	if r.Length <= 0 || r.Track.Percent() >= fullPercent {
 		return false
 	}
 	left := r.Remaining()
 	if r.LeavesIn >= 0 {
-		stays := r.LeavesIn + leaveOverrun
-		if r.Checkpoints {
-			stays = r.LeavesIn
+		stays := r.LeavesIn
+		if !r.Checkpoints {
+			stays -= leaveLag
 		}
 		if left > stays {
 			return true
