Cancel a job that arrives after its cancellation

A cancellation of an unknown job was remembered, but a hand-in through the planner that came after it only set a field that nothing read: the job ran although its caller had been told that it was gone. Jobs read from the store were cancelled. Both ways share applyEarlyCancel now.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -151,14 +151,13 @@
 	job struct {
 		work.Job
 		work.Progress
-		durablePhase    work.Phase // phase of the newest durable progress record
-		durable         bool       // the job's open record is in the store
-		handedIn        bool       // the open record is in HandinTopic
-		cancelRequested bool       // a cancellation arrived before the job; nothing reads this field
-		acceptedAt      time.Duration
-		dirty           bool                     // waits for the next append
-		failedOn        map[string]int           // number of failed runs, by worker
-		doneRunTimes    map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
+		durablePhase work.Phase // phase of the newest durable progress record
+		durable      bool       // the job's open record is in the store
+		handedIn     bool       // the open record is in HandinTopic
+		acceptedAt   time.Duration
+		dirty        bool                     // waits for the next append
+		failedOn     map[string]int           // number of failed runs, by worker
+		doneRunTimes map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
 	}
 )
 
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -58,10 +58,7 @@
 	e.jobs[def.ID] = j
 	e.active = append(e.active, j)
 	e.restoreUnmatched(j)
-	if early, ok := e.earlyCancels[def.ID]; ok && early.workspace == def.Workspace {
-		delete(e.earlyCancels, def.ID)
-		j.cancelRequested = true
-	}
+	e.applyEarlyCancel(j)
 	e.requestPass()
 
 	return j
@@ -102,6 +99,15 @@
 	return await(ctx, done)
 }
 
+// applyEarlyCancel cancels a job whose cancellation arrived before it, for example because its
+// first hand-in was delayed.
+func (e *Engine) applyEarlyCancel(j *job) {
+	if early, ok := e.earlyCancels[j.ID]; ok && early.workspace == j.Workspace {
+		delete(e.earlyCancels, j.ID)
+		e.cancelJob(j, "earlier cancellation")
+	}
+}
+
 func (e *Engine) cancelJob(j *job, by string) {
 	if j.Phase.Final() {
 		return
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -178,10 +178,7 @@
 	age := e.Now().Sub(time.UnixMilli(def.Sent))
 	j := &job{Job: def, durable: true, handedIn: handedIn, acceptedAt: e.SinceBoot() - max(0, age), doneRunTimes: map[occurStep]runTimeSum{}}
 	e.jobs[id] = j
-	if early, ok := e.earlyCancels[id]; ok && early.workspace == def.Workspace {
-		delete(e.earlyCancels, id)
-		e.cancelJob(j, "earlier cancellation")
-	}
+	e.applyEarlyCancel(j)
 }
 
 // applyCancel applies a cancellation that an entry VM wrote to the store.
