--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"sesameyoke/internal/core/placement"
 	"sesameyoke/internal/core/work"
@@ -21,7 +22,7 @@
 				if i%10 > 0 {
 					need := work.Shape{CPU: 60000, Memory: 200000, Accelerators: 8}
 					w.Free = capacity.Minus(need)
-					w.Runs = []placement.Run{{Group: fmt.Sprint(i), Priority: 2, LostWork: float64(i % 90), Need: need}}
+					w.Runs = []placement.Run{{Group: fmt.Sprint(i), Priority: 2, LostWork: float64(i % 90), Need: need, Remaining: time.Duration(i%90) * 100 * time.Millisecond}}
 				}
 				workers[i] = w
 			}
@@ -29,7 +30,7 @@
 			whole := work.Shape{CPU: 26000, Memory: 110000, Accelerators: 8}
 			units := []placement.Unit{
 				{Name: "a", Service: "s", Tasks: []int{0}, Need: one, SpeedWeight: 1.5},
-				{Name: "g", Service: "s", Tasks: make([]int, 8), Need: whole, Gang: true, SameRack: true, Priority: 1, SpeedWeight: 0.5},
+				{Name: "g", Service: "s", Tasks: make([]int, 8), Need: whole, Gang: true, SameRack: true, Reserves: true, Length: 7 * time.Second, Priority: 1, SpeedWeight: 0.5},
 				{Name: "m", Service: "s", Tasks: make([]int, 40), Need: one, Priority: 2},
 			}
 			scratch := make([]placement.Worker, n)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -98,8 +98,8 @@
 )
 
 // Decide places units in the given order and subtracts what they need from the free
-// capacity of their workers. For units that do not fit it may evict runs, or reserve workers for the time when they
-// are expected to fit.
+// capacity of their workers. For units that do not fit it may evict runs, or reserve
+// workers for the time when they are expected to fit.
 func Decide(workers []Worker, units []Unit) Result {
 	r := Result{Claims: map[int]string{}}
 	racks := groupByRack(workers)
@@ -111,24 +111,31 @@
 		if !cannotFit(failed, u) {
 			a = place(workers, racks, u)
 		}
-		if len(a.byTask) < len(u.Tasks) {
-			recordFailure(failed, u, len(a.byTask)+1)
-		}
 		for t, w := range a.byTask {
 			workers[w].occupy(u)
 			r.Placements = append(r.Placements, Placement{Unit: i, Task: u.Tasks[t], Worker: w})
 		}
-		if u.MayEvict && len(a.byTask) < len(u.Tasks) && (u.Gang || len(a.byTask) == 0) && evict(workers, racks, u, &r) {
-			continue
-		}
-		if u.Reserves && u.Gang && len(a.byTask) == 0 && !u.HasClaim {
-			reserve(workers, racks, u)
+		if len(a.byTask) < len(u.Tasks) {
+			recordFailure(failed, u, len(a.byTask)+1)
+			if len(a.byTask) == 0 {
+				makeRoom(workers, racks, u, &r)
+			}
 		}
 	}
 
 	return r
 }
 
+// makeRoom evicts runs for a unit of which no task fits, or reserves workers for it.
+func makeRoom(workers []Worker, racks []rack, u *Unit, r *Result) {
+	if u.MayEvict && evict(workers, racks, u, r) {
+		return
+	}
+	if u.Reserves && u.Gang && !u.HasClaim {
+		reserve(workers, racks, u)
+	}
+}
+
 // requirement is the key under which units with equal placement constraints share
 // the result of a failed placement in one decision.
 type requirement struct {
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -12,9 +12,8 @@
 	// reservation holds capacity of a worker for a gang that is expected to start there later.
 	reservation struct {
 		unit string
-		need work.Shape
 		at   time.Duration // expected start, from now
-		left work.Shape    // what other runs may still hold then
+		left work.Shape    // capacity that other runs may hold beyond the start
 	}
 
 	// slot is capacity for one task, with the time until it is expected to be free.
@@ -31,28 +30,40 @@
 func reserve(workers []Worker, racks []rack, u *Unit) {
 	var best []slot
 	if u.SameRack {
-		for i := range racks {
-			if s := earliestSlots(workers, racks[i].workers, u); s != nil && (best == nil || s[len(s)-1].at < best[len(best)-1].at) {
-				best = s
-			}
-		}
+		best = earliestOnRack(workers, racks, u)
 	} else {
 		best = earliestSlots(workers, allWorkers(workers), u)
 	}
 	if best == nil {
 		return
 	}
-	at := best[len(best)-1].at
+	at := startOf(best)
 	for _, s := range best {
 		w := &workers[s.worker]
 		if w.reserved == nil {
 			w.reserved = &reservation{unit: u.Name, at: at, left: w.freeAt(at)}
 		}
-		w.reserved.need = w.reserved.need.Plus(u.Need)
 		w.reserved.left = w.reserved.left.Minus(u.Need)
 	}
 }
 
+// earliestOnRack returns the slots on the rack where a unit is expected to start first, or nil
+// if no rack can hold it.
+func earliestOnRack(workers []Worker, racks []rack, u *Unit) []slot {
+	var best []slot
+	for i := range racks {
+		s := earliestSlots(workers, racks[i].workers, u)
+		if s != nil && (best == nil || startOf(s) < startOf(best)) {
+			best = s
+		}
+	}
+
+	return best
+}
+
+// startOf returns the time when the last of the slots, which are sorted, is free.
+func startOf(slots []slot) time.Duration { return slots[len(slots)-1].at }
+
 // earliestSlots returns the slots for all tasks of a unit that are free first, in the order
 // of their times, or nil if the candidates cannot hold the unit.
 func earliestSlots(workers []Worker, candidates []int, u *Unit) []slot {
