Guaranteed work reclaims what urgent work beyond a guarantee has borrowed

Cause: urgent runs were never evicted, so a gang wider than its workspace's guarantee could hold what is promised to another workspace until it ended. This was possible before on idle workers, and likelier since such a gang evicts others. The script reclaim shows it: without the change, guaranteed work does not start while the gang runs (30 s).

A run of priority 0 that its workspace's guarantee does not cover counts as borrowed; work that a guarantee covers may evict it, after all runs of lower priorities.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
-// preemptingPriority is the priority of queues whose work may evict runs of other queues.
-const preemptingPriority = 0
+const (
+	// Priority of queues whose work may evict runs of other queues.
+	preemptingPriority = 0
+	// Cost of evicting a borrowed run, in core-seconds. It is higher than that of any run of a
+	// lower priority, which is less urgent.
+	borrowedCost = 1e6
+)
 
 // evictionPlan lists the runs to stop for a unit and the workers on which it runs afterwards.
 type evictionPlan struct {
@@ -115,11 +120,11 @@
 		switch {
 		case run.Ending || selected[run.Group]:
 			free = free.Plus(run.Need)
-		case run.Priority > u.Priority && !run.Placed:
+		case u.mayEvict(&run):
 			evictable = append(evictable, run)
 		}
 	}
-	slices.SortFunc(evictable, func(a, b Run) int { return cmp.Compare(a.LostWork, b.LostWork) })
+	slices.SortFunc(evictable, func(a, b Run) int { return cmp.Compare(a.evictionCost(), b.evictionCost()) })
 	groups, lost := map[string]bool{}, 0.0
 	for _, run := range evictable {
 		if need.Fits(free) {
@@ -127,10 +132,25 @@
 		}
 		if !groups[run.Group] {
 			groups[run.Group] = true
-			lost += run.LostWork
+			lost += run.evictionCost()
 		}
 		free = free.Plus(run.Need)
 	}
 
 	return groups, lost, need.Fits(free)
 }
+
+// mayEvict reports whether a unit may evict a run. Guaranteed units reclaim what urgent work
+// beyond a guarantee has borrowed.
+func (u *Unit) mayEvict(r *Run) bool {
+	return !r.Placed && (r.Priority > u.Priority || (u.Guaranteed && r.Borrowed))
+}
+
+// evictionCost returns the cost of stopping the run's group, in core-seconds.
+func (r *Run) evictionCost() float64 {
+	if r.Borrowed {
+		return borrowedCost + r.LostWork
+	}
+
+	return r.LostWork
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -18,6 +18,7 @@
 		LostWork float64 // core-seconds of work that are lost if the group is stopped
 		Ending   bool    // the run is already being stopped
 		Placed   bool    // placed in this decision: it has not started and is not evicted
+		Borrowed bool    // urgent work that its workspace's guarantee does not cover
 		Need     work.Shape
 
 		Remaining time.Duration // expected time until it ends
@@ -65,6 +66,7 @@
 		HasClaim     bool          // some worker is claimed by the unit
 		UsesSpares   bool          // may use spare workers whatever its priority
 		MayEvict     bool          // may evict runs of a lower priority
+		Guaranteed   bool          // covered by its workspace's guarantee: may evict borrowed runs too
 	}
 
 	// Placement puts one task on a worker.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -65,6 +65,7 @@
 			if len(p) > 4 {
 				run.Remaining = seconds(t, p[4])
 			}
+			run.Borrowed = len(p) > 5 && p[5] == "borrowed"
 			run.Need = shape(free)
 			w.Runs = append(w.Runs, run)
 		}
@@ -84,7 +85,8 @@
 func shape(n int) work.Shape { return work.Shape{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n} }
 
 // decide parses units from lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
-// [reserves] [spares] [besteffort] [priority=N] [length=SECONDS] [near=RACK] [spread=N]" and returns the decision as text.
+// [guaranteed] [reserves] [spares] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
+// [spread=N]" and returns the decision as text.
 func decide(t *testing.T, ws []placement.Worker, input string) string {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -109,6 +111,8 @@
 				u.UsesSpares = true
 			case "besteffort":
 				u.BestEffort = true
+			case "guaranteed":
+				u.Guaranteed = true
 			case "reserves":
 				u.Reserves = true
 			case "length":
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -37,6 +37,7 @@
 	slices.Sort(f.names)
 	now := e.SinceBoot()
 	barred := e.barred(now)
+	guaranteed := e.guaranteedJobs()
 	for i, name := range f.names {
 		f.index[name] = i
 		pw := e.workers[name].toPlacementWorker(now)
@@ -44,7 +45,7 @@
 		pw.ClaimedBy = e.claimingUnit(name, now)
 		for _, m := range e.workers[name].members() {
 			if !m.unit.job.Steps[m.unit.step].LongRunning || m.unit.aborted {
-				pw.Runs = append(pw.Runs, e.toPlacementRun(m, now))
+				pw.Runs = append(pw.Runs, e.toPlacementRun(m, guaranteed[m.unit.job], now))
 			}
 		}
 		f.workers = append(f.workers, pw)
@@ -114,9 +115,13 @@
 
 // toPlacementRun returns a member's run as input of a placement decision. Its lost
 // work is that of the whole unit, because a gang ends with any of its members.
-func (e *Engine) toPlacementRun(m *member, now time.Duration) placement.Run {
+func (e *Engine) toPlacementRun(m *member, guaranteed bool, now time.Duration) placement.Run {
 	u := m.unit
-	r := placement.Run{Group: u.name, Need: m.demand(), Priority: e.queuePolicy(u.job.Queue).Priority, Ending: u.aborted || u.done, Remaining: e.expectedRemaining(m, now)}
+	priority := e.queuePolicy(u.job.Queue).Priority
+	r := placement.Run{
+		Group: u.name, Need: m.demand(), Priority: priority, Borrowed: priority == 0 && !guaranteed,
+		Ending: u.aborted || u.done, Remaining: e.expectedRemaining(m, now),
+	}
 	for _, o := range u.members {
 		r.LostWork += o.lostWork(now)
 	}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -125,6 +125,7 @@
 	c.unit = e.toPlacementUnit(j, occur, step, tasks)
 	c.unit.UsesSpares = waited >= spareAfter
 	c.unit.Reserves = st.Gang
+	c.unit.Guaranteed = guaranteed
 	c.unit.MayEvict = placement.MayEvict(q.Priority, waited, e.Timing.EvictAfter)
 
 	return append(cands, c)
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -80,7 +80,7 @@
 			{Name: "batch", Service: "s", Priority: 1, Attempts: fleet.Attempts, Stretch: 3},
 			{Name: "advised", Service: "s", Priority: 1, Attempts: fleet.Attempts, Stretch: 3, Advised: true},
 		},
-		Workspaces: []policy.Workspace{{Name: "w", Guaranteed: 16}},
+		Workspaces: []policy.Workspace{{Name: "v", Guaranteed: 16}, {Name: "w", Guaranteed: 16}},
 	}
 	r.policy.Index()
 	out := io.Discard
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -215,6 +215,7 @@
 	d.MaybeScanArgs(t, "target", &s.LatencyTarget)
 	j := work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{s}}
 	d.MaybeScanArgs(t, "queue", &j.Queue)
+	d.MaybeScanArgs(t, "workspace", &j.Workspace)
 	d.MaybeScanArgs(t, "times", &j.Times)
 	if j.Times > 0 {
 		j.First, j.Interval = time.Now().Add(time.Second).UnixMilli(), 1500
