--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -8,9 +8,12 @@
 )
 
 const (
+	// Progress of a run that has ended, in percent.
 	fullPercent = 100
-	// Time until the end of a run that is being stopped or should have ended.
+	// Time until the end of a run that is being stopped, and least time left of any run.
 	endingTime = 200 * time.Millisecond
+	// A run that has exceeded its expected run time is expected to take 1/4 of its time so far.
+	overrunDivisor = 4
 	// An accelerator counts as this many cores.
 	accelCores = 8
 	// A serving task counts as 1/2 of its worker's CPU in addition to its need, which keeps
@@ -145,7 +148,7 @@
 		return max(endingTime, l*time.Duration(fullPercent-m.track.Percent())/fullPercent-(now-m.worker.clockAt))
 	}
 	if elapsed >= length {
-		return max(endingTime, elapsed/4)
+		return max(endingTime, elapsed/overrunDivisor)
 	}
 
 	return max(endingTime, length-elapsed)
