--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -120,7 +120,7 @@
 		switch {
 		case run.Ending || selected[run.Group]:
 			free = free.Plus(run.Need)
-		case u.mayEvict(&run):
+		case u.canEvict(&run):
 			evictable = append(evictable, run)
 		}
 	}
@@ -140,9 +140,9 @@
 	return groups, lost, need.Fits(free)
 }
 
-// mayEvict reports whether a unit may evict a run. Guaranteed units reclaim what urgent work
+// canEvict reports whether a unit that may evict at all may evict a run. Guaranteed units reclaim what urgent work
 // beyond a guarantee has borrowed.
-func (u *Unit) mayEvict(r *Run) bool {
+func (u *Unit) canEvict(r *Run) bool {
 	return !r.Placed && (r.Priority > u.Priority || (u.Guaranteed && r.Borrowed))
 }
 
