Log why a step waits while its job has no runs

unit-waits says how many tasks fit, how many of them on one rack, and how many each constraint keeps out; unit-unsettled gives the phases of a placed unit of which nothing runs; fleet counts the workers without new runs by reason. Each at most every 2 s a unit, 8 lines a pass. No decision changes. placement.Explain is pure and has a script of its own.

--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -29,6 +29,8 @@
 				return ""
 			case "decide":
 				return decide(t, slices.Clone(workers), d.Input)
+			case "explain":
+				return explain(t, slices.Clone(workers), d.Input)
 			case "rank":
 				return rank(t, d)
 			case "mayevict":
@@ -84,10 +86,10 @@
 
 func shape(n int) work.Shape { return work.Shape{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n} }
 
-// decide parses units from lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
+// readUnits parses lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
 // [guaranteed] [reserves] [spares] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
-// [spread=N]" and returns the decision as text.
-func decide(t *testing.T, ws []placement.Worker, input string) string {
+// [spread=N] [avoid=WORKER]".
+func readUnits(t *testing.T, input string) []placement.Unit {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
 		f := strings.Fields(line)
@@ -123,11 +125,31 @@
 				_, err = fmt.Sscan(v, &u.Priority)
 			case "spread":
 				_, err = fmt.Sscan(v, &u.MaxPerWorker)
+			case "avoid":
+				var avoided int
+				_, err = fmt.Sscan(v, &avoided)
+				u.Avoid = map[int]bool{avoided: true}
 			}
 			require.NoError(t, err)
 		}
 		us = append(us, u)
 	}
+
+	return us
+}
+
+// explain decides on the units of the input and returns why the last one was not placed.
+func explain(t *testing.T, ws []placement.Worker, input string) string {
+	us := readUnits(t, input)
+	placement.Decide(ws, us)
+	s := placement.Explain(ws, &us[len(us)-1])
+
+	return fmt.Sprintf("%+v", s)
+}
+
+// decide returns the decision on the units of the input as text.
+func decide(t *testing.T, ws []placement.Worker, input string) string {
+	us := readUnits(t, input)
 	r := placement.Decide(ws, us)
 	out := make([]string, 0, len(r.Placements)+len(r.Evicted))
 	for _, p := range r.Placements {
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -113,12 +113,13 @@
 		calls             semaphore          // bounds concurrent stops, and lease renewals that are to be answered at once
 		adviceByStep      map[string]*advice // placement advice, by step name
 		waves             map[int]*wave
-		adviceStep        string        // name of the step whose advice request is in flight; empty if none is
-		ready             bool          // the takeover is complete: calls are accepted
-		began             time.Duration // when Run was called
-		firstListing      *Listing      // first read of the worker list
-		handinOffset      int64         // next offset to read in HandinTopic
-		handinReadAt      time.Duration // when the newest successful read of HandinTopic was requested
+		idle              map[stepKey]*idleStep // steps that wait while their jobs have no runs
+		adviceStep        string                // name of the step whose advice request is in flight; empty if none is
+		ready             bool                  // the takeover is complete: calls are accepted
+		began             time.Duration         // when Run was called
+		firstListing      *Listing              // first read of the worker list
+		handinOffset      int64                 // next offset to read in HandinTopic
+		handinReadAt      time.Duration         // when the newest successful read of HandinTopic was requested
 
 		lastPass   time.Duration // duration of the newest pass
 		reviewedAt time.Duration // when moveRuns last examined the runs
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -35,7 +35,9 @@
 	e.dropEndedJobs()
 	e.moveRuns()
 	e.addDueOccurrences()
+	e.logUnsettled()
 	cands := e.candidates()
+	e.noteIdle(cands)
 	if len(cands) == 0 {
 		return
 	}
@@ -46,6 +48,7 @@
 		units[i] = cands[i].unit
 	}
 	r := placement.Decide(f.workers, units)
+	e.logWaiting(cands, f, r)
 	for _, name := range r.Evicted {
 		if u := e.units[name]; u != nil {
 			e.abort(u, "evicted")
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -38,6 +38,7 @@
 		began      time.Duration // when this planner placed or adopted it
 		orphan     bool          // its run is not on record, but a worker has reported it or may still start it
 		sibling    *unit         // the other copy of a speculatively executed task
+		loggedAt   time.Duration // when the phases of its members were last logged
 	}
 
 	// member is the run of one task.
