--- a/internal/standin/fleet/hosts.go
+++ b/internal/standin/fleet/hosts.go
@@ -143,7 +143,7 @@
 		w.maintained = false
 		w.startIncarnation()
 		w.up, w.listed = true, true
-		f.changes = append(f.changes, w.ID)
+		f.publish(w)
 		f.mu.Unlock()
 	}()
 }
--- a/internal/standin/fleet/journal.go
+++ b/internal/standin/fleet/journal.go
@@ -41,6 +41,14 @@
 	f.Journal.jobs[j.ID] = j
 }
 
+// Job returns a job that a caller has submitted.
+func (f *Fleet) Job(id string) work.Job {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.Journal.jobs[id]
+}
+
 // RecordRefusal records that a job was refused, and that its caller was told so.
 func (f *Fleet) RecordRefusal(id string) {
 	f.mu.Lock()
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -23,6 +23,7 @@
 	tick             = 10 * time.Millisecond  // interval at which Run advances the workers
 	killGrace        = 300 * time.Millisecond // from a stop until the run ends
 	gangTimeout      = 3 * time.Second        // how long a run waits for the rest of its gang
+	crashDowntime    = 3 * time.Second        // from a crash until the next incarnation starts
 	maxEndsPerReport = 20                     // small, so that tests cover ends that take several reports
 )
 
@@ -39,16 +40,29 @@
 		Random            func() float64 // returns a number in [0,1)
 		// Outcome returns the length of a run, as work at full speed, and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
+		// Crashes reports whether a run crashes its worker when it starts. The worker is back
+		// after crashDowntime. No run does if it is nil.
+		Crashes func(task work.Task, run int64, worker string) bool
+		// ListLag returns how long a change of the list takes to become visible. Changes stay in
+		// order. They are visible at once if it is nil.
+		ListLag func() time.Duration
 
 		mu          sync.Mutex
 		hosts       hosts
 		workers     map[string]*Worker
-		changes     []string                // log of the workers whose entries changed, in order
+		changes     []listChange            // log of the changed entries of the list, in order
 		lateShare   float64                 // share of the orders that get no reply and are executed later
 		lostShare   float64                 // share of the orders that are executed but get no reply
 		phantomRuns map[string][]target.Run // runs that a worker reports but does not have, by worker
 	}
 
+	// listChange is one changed entry of the list of workers.
+	listChange struct {
+		worker    target.Worker
+		listed    bool
+		visibleAt time.Time
+	}
+
 	// Worker emulates one worker.
 	Worker struct {
 		target.Worker
@@ -97,7 +111,7 @@
 	}
 	w.startIncarnation()
 	f.workers[id] = w
-	f.changes = append(f.changes, id)
+	f.publish(w)
 }
 
 // startIncarnation resets the worker's state, as a restart of its process does.
@@ -135,7 +149,7 @@
 	w := f.workers[id]
 	w.startIncarnation()
 	w.up, w.listed, w.Draining = true, true, false
-	f.changes = append(f.changes, id)
+	f.publish(w)
 }
 
 // Unlist removes a worker from the list, but does not stop it.
@@ -143,7 +157,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.workers[id].listed = false
-	f.changes = append(f.changes, id)
+	f.publish(f.workers[id])
 }
 
 // Drain lists a worker as draining. left is the least time until it leaves.
@@ -151,7 +165,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.workers[id].Draining, f.workers[id].TimeToLeave = true, left
-	f.changes = append(f.changes, id)
+	f.publish(f.workers[id])
 }
 
 // SetSpeed sets how fast a worker's runs make progress: 1 is full speed, and with 0 they
@@ -201,19 +215,15 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		l := engine.Listing{Complete: !synced}
-		ids := f.changes[next:]
-		if !synced {
-			ids = nil
-			for id := range f.workers {
-				ids = append(ids, id)
-			}
+		newest := map[string]listChange{}
+		for ; next < len(f.changes) && !f.changes[next].visibleAt.After(time.Now()); next++ {
+			newest[f.changes[next].worker.ID] = f.changes[next]
 		}
-		next, synced = len(f.changes), true
-		for _, id := range ids {
-			w := f.workers[id]
-			if w.listed {
-				l.Workers = append(l.Workers, w.Worker)
-			} else {
+		synced = true
+		for _, id := range sortedIDs(newest) {
+			if newest[id].listed {
+				l.Workers = append(l.Workers, newest[id].worker)
+			} else if !l.Complete {
 				l.Removed = append(l.Removed, id)
 			}
 		}
@@ -222,6 +232,47 @@
 	}
 }
 
+// publish adds a worker's entry to the changes of the list. f.mu must be held.
+func (f *Fleet) publish(w *Worker) {
+	c := listChange{worker: w.Worker, listed: w.listed, visibleAt: time.Now()}
+	if f.ListLag != nil {
+		c.visibleAt = c.visibleAt.Add(f.ListLag())
+	}
+	if n := len(f.changes); n > 0 && f.changes[n-1].visibleAt.After(c.visibleAt) {
+		c.visibleAt = f.changes[n-1].visibleAt
+	}
+	f.changes = append(f.changes, c)
+}
+
+// crash ends a worker's process, which starts again after crashDowntime. f.mu must be held.
+func (f *Fleet) crash(w *Worker) {
+	w.up = false
+	for _, r := range w.runs {
+		r.record.close("gone")
+	}
+	w.runs = map[work.Task]*activeRun{}
+	born := w.Incarnation
+	go func() {
+		time.Sleep(crashDowntime)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.up || w.Incarnation != born {
+			return
+		}
+		w.startIncarnation()
+		w.up, w.listed, w.Draining = true, true, false
+		f.publish(w)
+	}()
+}
+
+// Crash ends a worker's process, which starts again after crashDowntime.
+func (f *Fleet) Crash(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	f.crash(f.workers[id])
+}
+
 // For returns a client of the workers for one caller. The client calls gate before and
 // after each call; a gate that blocks suspends the caller.
 func (f *Fleet) For(caller string, gate func()) *target.Client {
@@ -279,11 +330,20 @@
 		return 0, err
 	}
 	f.mu.Lock()
+	if !w.up { // it has crashed since reach
+		f.mu.Unlock()
+
+		return 0, errors.Wrap(target.ErrUnknown, "connection reset")
+	}
 	late, lost := f.lateShare > 0 && f.Random() < f.lateShare, f.lostShare > 0 && f.Random() < f.lostShare
 	if !late {
 		f.advance()
 		clock, err := do(w)
+		crashed := !w.up
 		f.mu.Unlock()
+		if crashed {
+			return 0, errors.Wrap(target.ErrUnknown, "connection reset")
+		}
 		if !lost {
 			return clock, err
 		}
@@ -331,6 +391,9 @@
 	r := &activeRun{task: s.Task, run: s.Run, started: time.Now(), length: length, plannedEnd: how, percent: 100}
 	r.record = f.Journal.recordStart(w, s)
 	w.runs[s.Task] = r
+	if f.Crashes != nil && f.Crashes(s.Task, s.Run, w.ID) {
+		f.crash(w)
+	}
 
 	return clock, nil
 }
@@ -458,7 +521,7 @@
 	}
 }
 
-func sortedIDs(ws map[string]*Worker) []string {
+func sortedIDs[V any](ws map[string]V) []string {
 	ids := make([]string, 0, len(ws))
 	for id := range ws {
 		ids = append(ids, id)
