Don't compare a new incarnation's clock with the old one's deadline

Callers saw: a job whose gang had a run on a worker that died, came back and was taken away again stayed without runs for up to the worker's former uptime, with the fleet free.

Cause: answers to starts and stops carry a clock but no incarnation. A stop answered by an incarnation that had not reported yet set the worker's clock to nearly 0, while its latest deadline was still on the old clock. The lease then counted as valid for the difference. The worker's next report or list entry mends it, so only a worker that reports no more is held.

Now a clock value is taken only if the incarnation known when the order was sent is still the newest, and if the clock did not go back. A clock that went back shows a new incarnation, whose lease may be as long as a worker accepts: it counts as valid that long and no longer. After a restart seen in the list the clock counts as not known until the first report.

Ruled out: a lost stop and the worker's entry in the list; the log shows the unlisting with one run held.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -110,6 +110,7 @@
 		// The new incarnation has not seen this planner's token yet. A lease renewal tells
 		// it the token, so that it rejects orders that the previous planner may still send.
 		w.reported, w.expiredBy = false, w.notExpiredBefore
+		w.clock, w.clockAt = 0, e.SinceBoot() // its clock is not known
 	}
 	if w.Host != "" {
 		w.wakeSession()
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -30,6 +30,12 @@
 	overloadGraceDivisor = 2
 )
 
+// sentOrder tells when an order was sent, and the worker's incarnation that was known then.
+type sentOrder struct {
+	at          time.Duration
+	incarnation int64
+}
+
 // startSession starts the goroutine that renews a worker's lease and reads its reports.
 func (e *Engine) startSession(w *worker) {
 	e.background.Go(func() {
@@ -226,6 +232,20 @@
 	}
 }
 
+// readClock processes the clock value in the answer to an order. The answer does not tell which
+// incarnation gave it. A clock that went back is that of a new incarnation: deadlines of the
+// previous one mean nothing to it, and its lease may be as long as a worker accepts.
+func (e *Engine) readClock(w *worker, clock int64, order sentOrder) {
+	now := e.SinceBoot()
+	switch {
+	case clock <= 0 || w.Incarnation != order.incarnation:
+	case clock >= w.clock:
+		w.setClock(clock, now)
+	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds():
+		w.notExpiredBefore = max(w.notExpiredBefore, now+e.maxLease())
+	}
+}
+
 // handleRestart switches a worker to a new incarnation. It is not known which incarnation
 // answered a start, so a run counts as ended only if the new incarnation does not report it.
 func (e *Engine) handleRestart(w *worker, incarnation int64) {
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -23,6 +23,7 @@
 type startAnswer struct {
 	clock   int64
 	err     error
+	order   sentOrder
 	unsent  bool // the order was not sent
 	retried bool // the order was sent more than once, and an attempt got no answer
 }
@@ -58,7 +59,7 @@
 		Task: m.task(), Run: u.run, Spec: u.job.Spec, Token: e.Lease.Token, Saved: m.resumedFrom, Ticket: m.ticket,
 		Deadline: w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease),
 	}
-	to := w.address()
+	to, incarnation := w.address(), w.Incarnation
 	e.background.Go(func() {
 		if !e.Lease.Valid() {
 			e.handleStartAnswer(m, startAnswer{unsent: true})
@@ -67,6 +68,7 @@
 		}
 		sent := e.SinceBoot()
 		a := e.startWithRetry(to, order)
+		a.order = sentOrder{at: sent, incarnation: incarnation}
 		e.Observe("start_seconds", e.SinceBoot()-sent)
 		e.handleStartAnswer(m, a)
 	})
@@ -89,7 +91,7 @@
 		e.recordUnansweredStart(m)
 		fallthrough
 	default:
-		e.applyStartAnswer(m, a.clock, a.err)
+		e.applyStartAnswer(m, a)
 	}
 	e.sendStarts()
 }
@@ -166,17 +168,15 @@
 
 // applyStartAnswer applies the answer to a start, or its error, to the member. A failed
 // start aborts the whole unit.
-func (e *Engine) applyStartAnswer(m *member, clock int64, err error) {
-	u, w := m.unit, m.worker
+func (e *Engine) applyStartAnswer(m *member, a startAnswer) {
+	u, w, err := m.unit, m.worker, a.err
 	if m.phase != starting {
 		return
 	}
-	if clock > 0 {
-		w.setClock(clock, e.SinceBoot())
-	}
+	e.readClock(w, a.clock, a.order)
 	if err == nil {
 		m.phase, m.answeredAt, m.began = running, e.SinceBoot(), e.SinceBoot()
-		e.startTrack(m, clock)
+		e.startTrack(m, a.clock)
 		m.confirmedShare = cpushare.Full
 		if m.isBestEffort() && w.hasBestEffortBesideServing() {
 			e.applyCPUShare(m, e.SinceBoot())
--- a/internal/run/engine/stops.go
+++ b/internal/run/engine/stops.go
@@ -55,12 +55,11 @@
 	defer e.calls.release()
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.OrderTimeout)
 	defer cancel()
+	sent := e.SinceBoot()
 	clock, err := e.Workers.Stop(ctx, to, order)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if clock > 0 {
-		m.worker.setClock(clock, e.SinceBoot())
-	}
+	e.readClock(m.worker, clock, sentOrder{at: sent, incarnation: incarnation})
 	switch {
 	case err == nil && m.worker.Incarnation != incarnation:
 		return true // the worker has restarted meanwhile; handleRestart has sent the stop again if needed
