Stop the rest of a gang when a member's worker is replaced before its start

Callers saw: a gang holds capacity, works nothing and starts again about 3 s later.

Cause: a planned member whose worker the list shows as a new incarnation was released when its start's turn came, but its unit was not stopped. The other members started and waited for it, until the planner took their workers for stalled or the workers gave the gang up.

Now the unit is stopped, so that the whole gang is placed again at once.

Evidence: script gangworkerreplaced failed before: run 1 of task 1 started alone at 2.5 s and was stopped at 5.4 s, and the gang ran from then on. It passes now without such a run.

--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -42,7 +42,10 @@
 	for m := e.starts.pop(); m != nil; m = e.starts.pop() {
 		switch {
 		case m.phase != planned:
-		case m.unit.aborted || !m.worker.reported:
+		case m.unit.aborted:
+			e.release(m)
+		case !m.worker.reported: // without this member, the rest of a gang would wait in vain
+			e.abort(m.unit, "worker restarted")
 			e.release(m)
 		default:
 			e.dispatchStart(m)
