--- a/internal/run/engine/crash_test.go
+++ b/internal/run/engine/crash_test.go
@@ -21,6 +21,7 @@
 const (
 	crashSeeds     = 10               // SESAMEYOKE_SEEDS sets another number
 	crashWorkers   = 60               // number of workers
+	uptime         = 60 * time.Second // uptime of the workers before the first fault
 	crashPeriod    = 25 * time.Second // time in which workers crash
 	settlePeriod   = 14 * time.Second // time after the faults in which jobs may be without runs
 	longestIdle    = 3 * time.Second  // longest time without runs of a job that there is room for
@@ -81,7 +82,7 @@
 	for _, n := range []string{"a", "b", "c"} {
 		r.start(n)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(uptime)
 	gone := map[string]bool{}
 	until := time.Now().Add(crashPeriod)
 	for i := 0; time.Now().Before(until); i++ {
@@ -114,7 +115,7 @@
 	if gone[worker] {
 		return
 	}
-	switch rnd.IntN(12) {
+	switch rnd.IntN(13) {
 	case 0, 1, 2:
 		r.fleet.Crash(worker)
 	case 3:
@@ -141,7 +142,19 @@
 		r.fleet.SetOrderFaults(0.1*rnd.Float64(), 0.1*rnd.Float64())
 	case 8:
 		r.fleet.SetOrderFaults(0, 0)
-	case 9:
+	case 9: // a worker is taken away soon after it is back
+		if len(gone) < crashWorkers/6 {
+			gone[worker] = true
+			r.fleet.Kill(worker)
+			go func() {
+				time.Sleep(3 * time.Second)
+				r.fleet.Restart(worker)
+				time.Sleep(time.Duration(r.randFloat() * float64(700*time.Millisecond)))
+				r.fleet.Kill(worker)
+				r.fleet.Unlist(worker)
+			}()
+		}
+	case 10:
 		if name, _ := r.planner(); seed%4 == 1 && name != "" {
 			r.kill(name)
 			r.start(name)
