--- a/internal/run/engine/crash_test.go
+++ b/internal/run/engine/crash_test.go
@@ -211,7 +211,7 @@
 func (r *rig) acceptedIDs() []string {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	var ids []string
+	ids := make([]string, 0, len(r.accepted))
 	for id := range r.accepted {
 		ids = append(ids, id)
 	}
--- a/internal/run/engine/describe_test.go
+++ b/internal/run/engine/describe_test.go
@@ -48,7 +48,7 @@
 
 // lengths returns the number of waiting members by priority class.
 func (q *startQueue) lengths() []int {
-	var n []int
+	n := make([]int, 0, startClasses)
 	for _, ms := range q.waiting {
 		n = append(n, len(ms))
 	}
