Test that takeovers do not renew the wait for a worker that has left

It changes no product code.

Callers see: a job with a run on a worker that has left stays without runs, with the fleet free, as long as takeovers follow each other in less than 11.6 s, and 11.6 s after the last.

Cause: each planner counts the lease of a worker that it never reached from its own start, with PredecessorValidity (5.2 s) and a whole lease (6.4 s), even if the predecessor's process is known to have ended and no predecessor has renewed that lease either.

--- /dev/null
+++ b/internal/run/engine/goneworker_test.go
@@ -0,0 +1,62 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/target"
+)
+
+// takeoverInterval is longer than the lease of a worker, with its margin, and a takeover.
+const takeoverInterval = 8 * time.Second
+
+// TestGoneWorkerAfterTakeovers takes a worker with a run of a gang away and then restarts the
+// planner's process, once or repeatedly. It guards against gangs that wait for the lease of a
+// worker anew after each takeover: the processes that could renew it are known to have ended,
+// so the gang must run again within takeoverInterval.
+func TestGoneWorkerAfterTakeovers(t *testing.T) {
+	for _, takeovers := range []int{1, 3} {
+		t.Run(fmt.Sprint(takeovers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { require.Empty(t, idleAfterTakeovers(t, takeovers)) })
+		})
+	}
+}
+
+// idleAfterTakeovers returns a message if the gang has no runs after the takeovers.
+func idleAfterTakeovers(t *testing.T, takeovers int) []string {
+	r := newRig(t, 1)
+	defer r.stop()
+	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return time.Minute, target.Done }
+	for i := range 4 {
+		r.fleet.Add(fmt.Sprintf("k%d", i), "s", fmt.Sprintf("r%d", i), work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		r.start(n)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	r.submit(work.Job{ID: "j1", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{
+		{Count: 2, Need: work.Shape{CPU: 1000, Memory: 1000, Accelerators: 8}, Estimate: 2000, Gang: true},
+	}})
+	time.Sleep(500 * time.Millisecond)
+	r.fleet.Kill("k0")
+	r.fleet.Unlist("k0")
+	gone := time.Now()
+	time.Sleep(time.Second)
+	for range takeovers {
+		name, _ := r.planner()
+		r.kill(name)
+		r.start(name)
+		time.Sleep(takeoverInterval)
+	}
+	if active, _ := r.activeRuns(); !active["j1"] {
+		return []string{fmt.Sprintf("j1 is without runs %v after its worker was taken away", time.Since(gone))}
+	}
+
+	return nil
+}
