--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -242,7 +242,7 @@
 		return silentStore()
 	}
 
-	return r.store.For(name, func() {})
+	return r.store.Via(strings.Split(from.name, "/")[0], name)
 }
 
 // silentStore returns a store whose calls are never answered.
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -25,12 +25,15 @@
 	Store struct {
 		Retention time.Duration  // how long records can be read; the newest of each key is kept without limit
 		Random    func() float64 // returns a number in [0,1)
+		PageSize  int            // records on a page of the newest records
+		PageBytes int            // size of the records from which no further one is added to a page
 
 		mu     sync.Mutex
 		topics map[string]*topic
 		faults StoreFaults
 		cutOff map[string]bool // callers whose calls fail
-		Calls  int             // calls received so far
+		links  map[string]*link
+		Calls  int // calls received so far
 	}
 
 	// StoreFaults selects the faults of the store. The zero value means none.
@@ -62,10 +65,13 @@
 	}
 )
 
-// NewStore returns an empty store that keeps records for 20 s. random returns numbers in
-// [0,1).
+// NewStore returns an empty store that keeps records for 20 s and has small pages, so that
+// tests cover several. random returns numbers in [0,1).
 func NewStore(random func() float64) *Store {
-	return &Store{Retention: 20 * time.Second, Random: random, topics: map[string]*topic{}, cutOff: map[string]bool{}}
+	return &Store{
+		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20,
+		topics: map[string]*topic{}, cutOff: map[string]bool{}, links: map[string]*link{},
+	}
 }
 
 // SetFaults replaces the faults of the store.
@@ -108,7 +114,12 @@
 			gate()
 			defer gate()
 
-			return s.newest(ctx, caller, t, after)
+			p, err := s.newest(ctx, caller, t, after)
+			if err != nil {
+				return p, err
+			}
+
+			return p, s.transfer(ctx, caller, p.Records)
 		},
 	}
 }
@@ -306,14 +317,15 @@
 	}
 	slices.Sort(keys)
 	p := store.Page{End: t.end()}
-	const pageSize = 50 // small, so that tests cover several pages
+	size := 0
 	for i, k := range keys {
-		if i == pageSize {
+		if i == s.PageSize || size >= s.PageBytes {
 			p.More = true
 
 			break
 		}
 		p.Records = append(p.Records, t.newest[k])
+		size += len(k) + len(t.newest[k].Value)
 	}
 
 	return p, nil
