Recover page by page; a reply that is arriving is not abandoned

Callers saw accepted jobs that nobody ran for up to 14.7 s after a weak VM had taken over: it renewed its lease and never planned. One attempt at the recovery had 2 s for all reads and each retry started from nothing; and the relay left the direct route after 0.4 of that, while a page of 1 MB takes 1.1 s on a link of 10 Mbit/s.

Each step (fence, one page, worker list) is now retried by itself, pages read are kept, and a step that timed out gets more time. The relay bounds the time until a reply begins, not the transfer, because another route uses the same link. The order of the reads is unchanged: hand-ins behind the fence, then jobs. The hand-ins now count as read at the time at which their first page was requested, because the offset to continue from is that page's.

--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -78,26 +78,3 @@
 func (e *ConditionError) Error() string { return fmt.Sprintf("topic ends at offset %d", e.End) }
 func (e *SequenceError) Error() string  { return fmt.Sprintf("sequence number %d expected", e.Expected) }
 func (e *TruncatedError) Error() string { return fmt.Sprintf("records before %d are gone", e.First) }
-
-// All returns the newest record of each key and the offset from which to continue reading.
-func (s *Store) All(ctx context.Context, topic string) ([]Record, int64, error) {
-	var (
-		all   []Record
-		end   int64 = -1
-		after string
-	)
-	for {
-		p, err := s.Newest(ctx, topic, after)
-		if err != nil {
-			return nil, 0, errors.Wrapf(err, "newest records of topic %q after %q", topic, after)
-		}
-		if end < 0 {
-			end = p.End
-		}
-		all = append(all, p.Records...)
-		if !p.More || len(p.Records) == 0 {
-			return all, end, nil
-		}
-		after = p.Records[len(p.Records)-1].Key
-	}
-}
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,8 +18,11 @@
 const (
 	// Pause after a failed attempt at the recovery or at a read of HandinTopic.
 	recoverPause = 100 * time.Millisecond
-	// Timeout of one attempt at the recovery.
-	recoverAttemptTimeout = 2 * time.Second
+	// Timeout of the first attempt at a step of the recovery, such as reading one page.
+	minStepTimeout = 2 * time.Second
+	// Bounds to which the timeout is doubled: if no reply began to arrive, and if one did.
+	maxSilentTimeout = 4 * time.Second
+	maxReplyTimeout  = 16 * time.Second
 	// A new planner waits this long for all reports; then those of a few workers may be missing.
 	minReportWait = 120 * time.Millisecond
 	// Largest share of the workers whose reports may be missing after minReportWait.
@@ -34,10 +38,64 @@
 )
 
 // recover fences the previous planner and reads its state. It retries until that succeeds
-// or a successor has fenced this planner.
+// or a successor has fenced this planner. What has been read is not read again.
 func (e *Engine) recover(ctx context.Context) error {
+	handins, jobs := store.Scan{Topic: HandinTopic}, store.Scan{Topic: JobsTopic}
+	var handinsReadAt time.Duration
+	reads, readCtx := errgroup.WithContext(ctx)
+	reads.Go(func() error {
+		if err := e.retryStep(readCtx, e.fencePredecessor); err != nil {
+			return err
+		}
+		// The previous planner can write nothing more from here on, so the hand-ins that are
+		// read now include all that it has processed.
+		handinsReadAt = e.SinceBoot()
+		if err := e.readAll(readCtx, &handins); err != nil {
+			return err
+		}
+
+		return e.readAll(readCtx, &jobs)
+	})
+	reads.Go(func() error { return e.retryStep(readCtx, e.loadWorkers) })
+	if err := reads.Wait(); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.applyListing(*e.firstListing)
+	e.handinOffset, e.handinReadAt = handins.End, handinsReadAt
+	e.rebuildJobs(jobs.Records, handins.Records)
+	e.adopt()
+
+	return nil
+}
+
+// fencePredecessor sets the producer's epoch, after which the previous planner can write
+// nothing more.
+func (e *Engine) fencePredecessor(ctx context.Context) error {
+	_, err := e.Store.Append(ctx, store.Append{Topic: JobsTopic, ExpectedEnd: -1, Producer: producer, Epoch: e.Lease.Token})
+
+	return errors.Wrap(err, "fence the previous planner")
+}
+
+// readAll reads the remaining pages of a topic.
+func (e *Engine) readAll(ctx context.Context, scan *store.Scan) error {
+	for !scan.Done {
+		err := e.retryStep(ctx, func(ctx context.Context) error { return scan.Read(ctx, e.Store) })
+		if err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// retryStep repeats a step of the recovery until it succeeds or a successor has fenced this
+// planner. An attempt that times out is followed by a longer one, because each starts anew.
+func (e *Engine) retryStep(ctx context.Context, step func(context.Context) error) error {
+	timeout := minStepTimeout
 	for ctx.Err() == nil {
-		err := e.recoverOnce(ctx)
+		next, err := attemptStep(ctx, timeout, step)
 		if err == nil {
 			return nil
 		}
@@ -46,48 +104,28 @@
 
 			return err
 		}
-		e.Log.Warn().Str("event", "recovery-waits").Err(err).Int64("token", e.Lease.Token).Msg("")
+		e.Log.Warn().Str("event", "recovery-waits").Err(err).Int64("token", e.Lease.Token).Dur("timeout", timeout).Msg("")
+		timeout = next
 		timer.Pause(ctx, recoverPause)
 	}
 
 	return ctx.Err()
 }
 
-// recoverOnce makes one attempt at the recovery.
-func (e *Engine) recoverOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, recoverAttemptTimeout)
+// attemptStep makes one attempt at a step and returns the timeout of the next one.
+func attemptStep(ctx context.Context, timeout time.Duration, step func(context.Context) error) (next time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var (
-		jobs, handins []store.Record
-		handinsEnd    int64
-	)
-	reads, ctx := errgroup.WithContext(ctx)
-	reads.Go(func() (err error) {
-		_, err = e.Store.Append(ctx, store.Append{Topic: JobsTopic, ExpectedEnd: -1, Producer: producer, Epoch: e.Lease.Token})
-		if err != nil {
-			return errors.Wrap(err, "fence the previous planner")
-		}
-		// The previous planner can write nothing more from here on, so the hand-ins that are
-		// read now include all that it has processed.
-		if handins, handinsEnd, err = e.Store.All(ctx, HandinTopic); err != nil {
-			return err
-		}
-		jobs, _, err = e.Store.All(ctx, JobsTopic)
-
-		return err
-	})
-	reads.Go(func() error { return e.loadWorkers(ctx) })
-	if err := reads.Wait(); err != nil {
-		return err
+	var replying atomic.Bool
+	err = step(store.OnReply(ctx, func() { replying.Store(true) }))
+	switch {
+	case ctx.Err() == nil:
+		return timeout, err
+	case replying.Load():
+		return min(2*timeout, maxReplyTimeout), err
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.applyListing(*e.firstListing)
-	e.handinOffset, e.handinReadAt = handinsEnd, e.SinceBoot()
-	e.rebuildJobs(jobs, handins)
-	e.adopt()
 
-	return nil
+	return max(timeout, min(2*timeout, maxSilentTimeout)), err
 }
 
 // loadWorkers reads the worker list unless an earlier attempt at the recovery has read it:
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	routeTimeShare      = 0.4                    // share of the remaining time for one route if others are left
+	routeTimeShare      = 0.4                    // share of the remaining time in which a reply must begin if other routes are left
 	directProbeInterval = 600 * time.Millisecond // interval at which a failing direct route is tried first
 	peerBackoff         = 400 * time.Millisecond // no other VM is used for this long after one has failed
 	maxPeers            = 3                      // maximum number of other VMs tried for one call
@@ -139,13 +139,17 @@
 	return append([]string{""}, peers...)
 }
 
-// callVia makes a call by one route. If limitTime is set, the call may take only a share of
-// the remaining time, so that other routes can be tried afterwards.
+// callVia makes a call by one route. If limitTime is set, the reply must begin to arrive
+// within a share of the remaining time, so that other routes can be tried afterwards. A
+// reply that is arriving is not abandoned: the others would take as long.
 func (r *Relay) callVia(ctx context.Context, route string, limitTime bool, call func(context.Context, *store.Store) error) error {
 	if deadline, ok := ctx.Deadline(); ok && limitTime {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(routeTimeShare*float64(time.Until(deadline))))
+		ctx, cancel = context.WithCancel(ctx)
 		defer cancel()
+		limit := time.AfterFunc(time.Duration(routeTimeShare*float64(time.Until(deadline))), cancel)
+		defer limit.Stop()
+		ctx = store.OnReply(ctx, func() { limit.Stop() })
 	}
 	if route == "" {
 		return call(ctx, r.Direct)
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,9 +32,9 @@
 // both links.
 func (s *Store) Via(caller, through string) *store.Store {
 	c := s.For(through, func() {})
-	newest := c.Newest
+	newest := c.Newest // its reply reaches the peer, not yet the caller
 	c.Newest = func(ctx context.Context, t, after string) (store.Page, error) {
-		p, err := newest(ctx, t, after)
+		p, err := newest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{}), t, after)
 		if err != nil {
 			return p, err
 		}
@@ -49,6 +50,9 @@
 	s.mu.Lock()
 	l := s.links[caller]
 	s.mu.Unlock()
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		trace.GotFirstResponseByte()
+	}
 	if l == nil {
 		return nil
 	}
