Carry the wait for a silent worker over to the next planner

Callers saw a job with nothing running and most room free: its worker had crashed for good, and each planner waited 11.6 s from its own takeover until the worker's lease must have expired. Planners lost at shorter intervals made that wait endless.

The planner now writes once a second which workers with runs have not reported to it and after how long their leases must have expired, counted from the write. While that record lists a worker, no planner grants it a lease: an entry is durably removed before the worker counts as reporting. A successor reads the record behind the fence, so the write was earlier than the fence, and counts the remaining time from there. Workers that have answered a planner are never listed by it.

Ruled out: ending the wait when the entry in the list of workers goes (an entry goes after three missed heartbeats too), and the times at which VMs saw each token (a process that starts again has none; tried).

TestReturnedWorker fails with two runs of one task if the entry is not removed durably first.

--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -41,7 +41,6 @@
 // or a successor has fenced this planner. What has been read is not read again.
 func (e *Engine) recover(ctx context.Context) error {
 	handins, jobs := store.Scan{Topic: HandinTopic}, store.Scan{Topic: JobsTopic}
-	var handinsReadAt time.Duration
 	reads, readCtx := errgroup.WithContext(ctx)
 	reads.Go(func() error {
 		if err := e.retryStep(readCtx, e.fencePredecessor); err != nil {
@@ -49,7 +48,7 @@
 		}
 		// The previous planner can write nothing more from here on, so the hand-ins that are
 		// read now include all that it has processed.
-		handinsReadAt = e.SinceBoot()
+		e.fencedAt = e.SinceBoot()
 		if err := e.readAll(readCtx, &handins); err != nil {
 			return err
 		}
@@ -63,7 +62,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.applyListing(*e.firstListing)
-	e.handinOffset, e.handinReadAt = handins.End, handinsReadAt
+	e.handinOffset, e.handinReadAt = handins.End, e.fencedAt
 	e.rebuildJobs(jobs.Records, handins.Records)
 	e.adopt()
 
@@ -157,6 +156,8 @@
 			if n, err := strconv.Atoi(id); err == nil {
 				e.restoreWave(n, r.Value)
 			}
+		case work.SilentRecord:
+			e.loadSilent(r.Value)
 		default:
 			e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 		}
@@ -297,7 +298,7 @@
 	w := e.workers[t.Worker]
 	if w == nil {
 		w = newWorker(target.Worker{ID: t.Worker, Incarnation: t.Incarnation})
-		w.expiredBy = e.predecessorExpiry()
+		w.expiredBy = e.predecessorExpiry(w.ID)
 		e.workers[w.ID] = w
 		e.startSession(w)
 	}
@@ -309,13 +310,6 @@
 	e.reserve(m)
 }
 
-// predecessorExpiry returns the time by which the worker leases granted under earlier
-// planner leases have expired, so that every run started before has ended. All planners
-// grant workers the same lease.
-func (e *Engine) predecessorExpiry() time.Duration {
-	return e.began + e.Timing.PredecessorValidity + time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
-}
-
 // maxLease returns the longest time for which a lease that a worker accepts now can be valid.
 func (e *Engine) maxLease() time.Duration {
 	return time.Duration(float64(e.Timing.MaxLease)/minClockRate) + clockMargin
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -77,6 +77,9 @@
 
 		return renewal, target.Address{}, false
 	}
+	if w.admitting {
+		return renewal, target.Address{}, false
+	}
 	if !w.reported {
 		renewal.Wait = 0
 
@@ -198,10 +201,7 @@
 		w.silentSince = 0
 	}
 	w.setClock(r.Clock, e.SinceBoot())
-	if !w.reported {
-		w.reported = true
-		e.requestPass()
-	}
+	e.admitReports(w)
 	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
 		e.handleRestart(w, r.Incarnation)
 	}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -22,6 +22,7 @@
 	target.Worker
 	listed            bool                    // is in the worker list
 	reported          bool                    // has reported under this planner lease
+	admitting         bool                    // has reported, and its entry in the silent record is being removed
 	free              work.Shape              // capacity that no run reserves
 	runs              map[work.Task][]*member // unreleased members, by task
 	wake              chan struct{}           // wakes the worker's session
