--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -248,6 +248,8 @@
 		r.fleet.Restart(id)
 	case "unlist":
 		r.fleet.Unlist(id)
+	case "relist":
+		r.fleet.Relist(id)
 	case "drain":
 		r.fleet.Drain(id, 2*time.Second)
 	case "still":
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -146,6 +146,14 @@
 	f.changes = append(f.changes, id)
 }
 
+// Relist returns a worker to the list.
+func (f *Fleet) Relist(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].listed = true
+	f.changes = append(f.changes, id)
+}
+
 // Drain lists a worker as draining. left is the least time until it leaves.
 func (f *Fleet) Drain(id string, left time.Duration) {
 	f.mu.Lock()
