Repeat a stop while the worker has no address

Callers saw a cancelled job's run go on without an end: a worker that is missing in the list when a planner takes over has no address, the stop ended there for good, and its mark kept later ones from being sent. The stop now waits for the address or for the end of the run.

--- a/internal/run/engine/stops.go
+++ b/internal/run/engine/stops.go
@@ -35,9 +35,14 @@
 			e.mu.Lock()
 			to, incarnation, ended := m.worker.address(), m.worker.Incarnation, m.phase == released
 			e.mu.Unlock()
-			if ended || to.Host == "" {
+			if ended {
 				return
 			}
+			if to.Host == "" { // the worker may be listed again before its lease has expired
+				timer.Pause(e.ctx, stopPause)
+
+				continue
+			}
 			if e.tryStop(m, to, incarnation, order, first) {
 				return
 			}
