--- a/internal/run/engine/largerecovery_test.go
+++ b/internal/run/engine/largerecovery_test.go
@@ -83,3 +83,42 @@
 
 	return size
 }
+
+// TestLargeBacklog cuts the planner's VM, which is weak, off from the hand-ins until the
+// records after its offset have expired and many jobs are handed in. It guards against a
+// planner that never knows them, because it must read all hand-ins in a fixed time.
+func TestLargeBacklog(t *testing.T) {
+	for _, kept := range []time.Duration{time.Hour, time.Second} {
+		t.Run(kept.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runLargeBacklog(t, kept) })
+		})
+	}
+}
+
+// runLargeBacklog keeps records for the given time.
+func runLargeBacklog(t *testing.T, kept time.Duration) {
+	r := newRig(t, 1)
+	defer r.stop()
+	r.store.PageSize, r.store.Retention = 500, kept
+	r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+	r.cores["a"] = 0.2
+	r.store.Limit("a", weakLink)
+	r.start("a")
+	time.Sleep(2 * time.Second)
+	r.store.Cut("a", true)
+	time.Sleep(1500 * time.Millisecond) // until the read that waits has ended
+	r.putJobs(t, engine.HandinTopic, 2000, 1500)
+	j := work.Job{ID: "g", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 1}}}
+	r.fleet.RecordSubmission(j)
+	require.NoError(t, r.writeHandin(t.Context(), work.Key(work.OpenRecord, j.ID), j))
+	time.Sleep(1500 * time.Millisecond)
+	r.store.Cut("a", false)
+	began := time.Now()
+	for time.Since(began) < 30*time.Second && len(r.fleet.Runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if os.Getenv("SESAMEYOKE_FIGURES") != "" {
+		fmt.Printf("kept=%v read after %v\n", kept, time.Since(began))
+	}
+	require.Less(t, time.Since(began), 12*time.Second)
+}
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -108,7 +108,12 @@
 			gate()
 			defer gate()
 
-			return s.read(ctx, caller, t, from, wait)
+			got, err := s.read(ctx, caller, t, from, wait)
+			if err != nil {
+				return got, err
+			}
+
+			return got, s.transfer(ctx, caller, got.Records)
 		},
 		Newest: func(ctx context.Context, t, after string) (store.Page, error) {
 			gate()
@@ -280,8 +285,15 @@
 			return store.Range{}, &store.TruncatedError{First: first}
 		}
 		r := store.Range{First: t.first, End: t.end()}
+		size := 0
 		for _, x := range t.records[from-t.first:] {
+			if size >= s.PageBytes {
+				r.End = x.Offset
+
+				break
+			}
 			r.Records = append(r.Records, x.Record)
+			size += len(x.Key) + len(x.Value)
 		}
 		changed := t.changed
 		s.mu.Unlock()
