Reread the hand-ins page by page without a bound for the whole

Callers saw jobs that were accepted through the store and not run: a planner whose offset had expired had 1.4 s to read all hand-ins and each retry started from nothing. It now reads them like the recovery does. The read still counts from the time at which the expired offset was requested.

--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -357,17 +357,15 @@
 
 // readNewHandins reads the records of HandinTopic from handinOffset on and processes them.
 func (e *Engine) readNewHandins(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, handinWait+handinSlack)
-	defer cancel()
 	sent := e.SinceBoot()
-	r, err := e.Store.Read(ctx, HandinTopic, e.handinOffset, handinWait)
+	r, err := e.readHandinRange(ctx)
 	var truncated *store.TruncatedError
 	if errors.As(err, &truncated) {
-		all, end, err := e.Store.All(ctx, HandinTopic)
-		if err != nil {
+		all := store.Scan{Topic: HandinTopic}
+		if err := e.readAll(ctx, &all); err != nil {
 			return err
 		}
-		r = store.Range{Records: all, End: end}
+		r = store.Range{Records: all.Records, End: all.End}
 	} else if err != nil {
 		return err
 	}
@@ -382,6 +380,15 @@
 	return nil
 }
 
+// readHandinRange reads HandinTopic from handinOffset on, and waits for a record if there is
+// none.
+func (e *Engine) readHandinRange(ctx context.Context) (store.Range, error) {
+	ctx, cancel := context.WithTimeout(ctx, handinWait+handinSlack)
+	defer cancel()
+
+	return e.Store.Read(ctx, HandinTopic, e.handinOffset, handinWait)
+}
+
 // handinsCurrent reports whether this planner knows all jobs, so that an unknown one does not
 // exist. That is certain only if its lease was renewed and HandinTopic was read recently.
 func (e *Engine) handinsCurrent() bool {
