List silent workers early, and count from the token that could grant last

The record is now written every 0.5 s from the recovery on, for workers that did not answer or have no address, and names the newest token under which each may have been granted a lease. A VM that was alive when a later token was issued counts from that time. A worker that this planner has ever admitted is not listed, whatever entry or incarnation it has now.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -113,16 +113,17 @@
 		calls             semaphore          // bounds concurrent stops, and lease renewals that are to be answered at once
 		adviceByStep      map[string]*advice // placement advice, by step name
 		waves             map[int]*wave
-		silent            map[string]bool  // workers that the silent record lists, or may list
-		silentWrites      int              // number of scheduled writes of the silent record
-		inheritedSilent   map[string]int64 // silent record of the previous planners
-		adviceStep        string           // name of the step whose advice request is in flight; empty if none is
-		ready             bool             // the takeover is complete: calls are accepted
-		began             time.Duration    // when Run was called
-		fencedAt          time.Duration    // when the previous planners were known to be fenced
-		firstListing      *Listing         // first read of the worker list
-		handinOffset      int64            // next offset to read in HandinTopic
-		handinReadAt      time.Duration    // when the newest successful read of HandinTopic was requested
+		silent            map[string]bool         // workers that the silent record lists, or may list
+		admitted          map[string]bool         // workers that this planner may have granted a lease, also in earlier incarnations
+		silentWrites      int                     // number of scheduled writes of the silent record
+		inheritedSilent   map[string]silentWorker // silent record of the previous planners
+		adviceStep        string                  // name of the step whose advice request is in flight; empty if none is
+		ready             bool                    // the takeover is complete: calls are accepted
+		began             time.Duration           // when Run was called
+		fencedAt          time.Duration           // when the previous planners were known to be fenced
+		firstListing      *Listing                // first read of the worker list
+		handinOffset      int64                   // next offset to read in HandinTopic
+		handinReadAt      time.Duration           // when the newest successful read of HandinTopic was requested
 
 		lastPass   time.Duration // duration of the newest pass
 		reviewedAt time.Duration // when moveRuns last examined the runs
@@ -170,7 +171,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{},
-		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, silent: map[string]bool{},
+		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
@@ -191,6 +192,7 @@
 	e.background.Go(func() { e.writer.run(ctx) })
 	e.background.Go(func() { e.discover(ctx) })
 	e.background.Go(func() { e.readHandins(ctx) })
+	e.background.Go(func() { e.updateSilent(ctx) })
 	if e.Cloud != nil {
 		e.background.Go(func() { e.maintain(ctx) })
 	}
@@ -200,7 +202,6 @@
 	e.mu.Unlock()
 	e.Log.Info().Str("event", "planning").Int64("token", e.Lease.Token).Int("jobs", len(e.active)).
 		Int("workers", len(e.workers)).Dur("after", e.SinceBoot()-e.began).Msg("")
-	e.background.Go(func() { e.updateSilent(ctx) })
 	e.loop(ctx)
 	e.writer.stop()
 	e.background.Wait()
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -11,30 +11,39 @@
 	"sesameyoke/internal/run/timer"
 )
 
-// The silent record lists workers that have runs but have not reported to the planner, with
-// the milliseconds after which their leases must have expired, counted from the write. While
-// it lists a worker, no planner grants that worker a lease. So a new planner need not count
-// the whole lease of a listed worker from its own takeover.
-
 // silentInterval is the interval between writes of the silent record while it has entries.
-const silentInterval = time.Second
+const silentInterval = 500 * time.Millisecond
+
+// silentWorker is an entry of the silent record, which lists workers that have runs but do
+// not answer the planner. While it lists a worker, no planner grants that worker a lease. So
+// a new planner need not count the whole lease of a listed worker from its own takeover.
+type silentWorker struct {
+	_     struct{} `cbor:",toarray"`
+	Token int64    // newest token under which the worker may have been granted a lease
+	Left  int64    // milliseconds from the write until its leases must have expired
+}
 
 // predecessorExpiry returns the time by which the leases that earlier planners granted a
 // worker have expired, so that every run started there before has ended. All planners
 // grant workers the same lease.
 func (e *Engine) predecessorExpiry(worker string) time.Duration {
-	expiry := e.began + e.Timing.PredecessorValidity + time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
-	if left, ok := e.inheritedSilent[worker]; ok {
-		expiry = min(expiry, e.fencedAt+time.Duration(left)*time.Millisecond)
+	granted := e.Timing.PredecessorValidity + time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
+	expiry := e.began + granted
+	s, ok := e.inheritedSilent[worker]
+	if !ok {
+		return expiry
+	}
+	if at, known := e.Lease.SupersededAt(s.Token); known {
+		expiry = min(expiry, at+granted)
 	}
 
-	return expiry
+	return min(expiry, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
 }
 
 // loadSilent applies the silent record of the previous planners, which was written before
 // this planner fenced them.
 func (e *Engine) loadSilent(b []byte) {
-	inherited := map[string]int64{}
+	inherited := map[string]silentWorker{}
 	if err := cbor.Unmarshal(b, &inherited); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
 	}
@@ -50,10 +59,10 @@
 // updateSilent writes the silent record at intervals until the context ends.
 func (e *Engine) updateSilent(ctx context.Context) {
 	for ctx.Err() == nil {
+		timer.Pause(ctx, silentInterval)
 		e.mu.Lock()
 		e.recordSilent()
 		e.mu.Unlock()
-		timer.Pause(ctx, silentInterval)
 	}
 }
 
@@ -65,13 +74,18 @@
 	}
 }
 
-// silentWorkers returns the content of the silent record. All its times are positive.
-func (e *Engine) silentWorkers() map[string]int64 {
-	silent := map[string]int64{}
+// silentWorkers returns the content of the silent record.
+func (e *Engine) silentWorkers() map[string]silentWorker {
+	silent := map[string]silentWorker{}
 	for _, w := range e.workers {
-		if w.neverReported() && len(w.runs) > 0 {
-			silent[w.ID] = max(0, w.expiredBy-e.SinceBoot()).Milliseconds() + 1 // rounded up
+		if e.admitted[w.ID] || w.admitting || w.clockAt != 0 || len(w.runs) == 0 || (w.silentSince == 0 && w.Host != "") {
+			continue
 		}
+		s := silentWorker{Token: e.Lease.Token - 1, Left: max(0, w.expiredBy-e.SinceBoot()).Milliseconds() + 1} // rounded up
+		if inherited, ok := e.inheritedSilent[w.ID]; ok {
+			s.Token = inherited.Token
+		}
+		silent[w.ID] = s
 	}
 
 	return silent
@@ -84,25 +98,28 @@
 	case w.reported || w.admitting:
 		return
 	case !e.silent[w.ID]:
-		w.reported = true
-		e.requestPass()
+		e.admit(w)
 
 		return
 	}
 	w.admitting = true
 	e.writeSilent(e.silentWorkers(), func(err error) {
 		w.admitting = false
-		if err != nil {
-			return
+		if err == nil {
+			e.admit(w)
+			w.wakeSession()
 		}
-		w.reported = true
-		w.wakeSession()
-		e.requestPass()
 	})
 }
 
+// admit makes a worker usable. From now on this planner may grant it leases.
+func (e *Engine) admit(w *worker) {
+	w.reported, e.admitted[w.ID] = true, true
+	e.requestPass()
+}
+
 // writeSilent schedules the silent record. The callback is called like that of writer.put.
-func (e *Engine) writeSilent(silent map[string]int64, f func(error)) {
+func (e *Engine) writeSilent(silent map[string]silentWorker, f func(error)) {
 	b, err := work.Encode(silent)
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
@@ -116,12 +133,12 @@
 	number := e.silentWrites
 	e.writer.putRecord(work.Key(work.SilentRecord, ""), b, func(err error) {
 		if err == nil && number == e.silentWrites {
-			maps.DeleteFunc(e.silent, func(worker string, _ bool) bool { return silent[worker] == 0 })
+			maps.DeleteFunc(e.silent, func(worker string, _ bool) bool {
+				_, listed := silent[worker]
+
+				return !listed
+			})
 		}
 		f(err)
 	})
 }
-
-// neverReported reports whether this planner has received nothing from the worker, and so
-// has not granted it a lease.
-func (w *worker) neverReported() bool { return !w.reported && !w.admitting && w.clockAt == 0 }
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,16 +106,24 @@
 		leaseTimeout    time.Duration // time after which the current holder's unchanged lease may be taken over
 		missedAt        time.Duration // boot time of the latest failed heartbeat; 0 if the latest one succeeded
 		lease           *Lease        // nil unless this VM holds the lease
+		sightings       []sighting    // tokens seen, in ascending order
 		leaving         bool
 		offer           *offer        // pending offer of the lease to this VM
 		lastOfferAt     time.Duration // boot time at which the lease was last offered to a stronger VM
 		wake            chan struct{}
 	}
 
+	// sighting is the first time at which this VM knew that a token had been issued.
+	sighting struct {
+		token int64
+		at    time.Duration // boot time
+	}
+
 	// Lease is the planner's lease while this VM holds it.
 	Lease struct {
 		Token int64 // fencing token
 
+		sightings  []sighting
 		sinceBoot  func() time.Duration
 		validUntil atomic.Int64    // boot time up to which orders may be issued
 		renewedAt  atomic.Int64    // boot time of the newest renewal
@@ -138,6 +147,18 @@
 // Renewed returns the time since the newest renewal and the number of that renewal.
 func (l *Lease) Renewed() (time.Duration, int64) { return l.Age(), l.renewal.Load() }
 
+// SupersededAt returns the earliest boot time at which this VM knew that a later token than
+// the given one had been issued.
+func (l *Lease) SupersededAt(token int64) (time.Duration, bool) {
+	for _, s := range l.sightings {
+		if s.token > token {
+			return s.at, true
+		}
+	}
+
+	return 0, false
+}
+
 // Invalidate invalidates the lease and cancels its context, which stops the planner. It is
 // called when another holder has been seen or the lease is given up.
 func (l *Lease) Invalidate() {
@@ -313,6 +334,7 @@
 			e.Log.Info().Str("event", "planner-seen").Str("planner", h.Name).Int64("token", h.Token).Bool("released", h.Released).Msg("")
 		}
 		e.holder = h
+		e.recordSighting(h.Token)
 	}
 	if e.statusRenewedAt != 0 && e.status.Renewal == e.holder.Renewal {
 		e.unchangedSince = min(e.unchangedSince, e.statusRenewedAt) // the holder itself reported when it made this renewal
@@ -371,12 +393,21 @@
 	l.extend(sent, e.LeaseValidity, next.Renewal)
 	e.mu.Lock()
 	e.holder, e.end, e.lease, e.unchangedSince = next, newEnd, l, sent
+	e.recordSighting(next.Token)
+	l.sightings = slices.Clone(e.sightings)
 	e.mu.Unlock()
 	e.Log.Info().Str("event", "lease-taken").Int64("token", next.Token).Int64("offset", newEnd).Str("predecessor", h.Name).Msg("")
 
 	return l
 }
 
+// recordSighting records that a token has been issued. The caller holds mu.
+func (e *Elector) recordSighting(token int64) {
+	if n := len(e.sightings); n == 0 || token > e.sightings[n-1].token {
+		e.sightings = append(e.sightings, sighting{token, e.SinceBoot()})
+	}
+}
+
 // extend records a renewal sent at boot time sent, after which the holder may act for the
 // given validity.
 func (l *Lease) extend(sent, validity time.Duration, renewal int64) {
