--- /dev/null
+++ b/internal/run/engine/silent.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/run/timer"
+)
+
+// silentInterval is the interval between writes of the silent record while it has entries.
+const silentInterval = 500 * time.Millisecond
+
+// silentWorker is an entry of the silent record, which lists workers that have runs but do
+// not answer the planner. While it lists a worker, no planner grants that worker a lease. So
+// a new planner need not count the whole lease of a listed worker from its own takeover.
+type silentWorker struct {
+	_     struct{} `cbor:",toarray"`
+	Token int64    // newest token under which the worker may have been granted a lease
+	Left  int64    // milliseconds from the write until its leases must have expired
+}
+
+// predecessorExpiry returns the time by which the leases that earlier planners granted a
+// worker have expired, so that every run started there before has ended. All planners
+// grant workers the same lease.
+func (e *Engine) predecessorExpiry(worker string) time.Duration {
+	granted := e.Timing.PredecessorValidity + time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
+	expiry := e.began + granted
+	s, ok := e.inheritedSilent[worker]
+	if !ok {
+		return expiry
+	}
+	if at, known := e.Lease.SupersededAt(s.Token); known {
+		expiry = min(expiry, at+granted)
+	}
+
+	return min(expiry, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
+}
+
+// loadSilent applies the silent record of the previous planners, which was written before
+// this planner fenced them.
+func (e *Engine) loadSilent(b []byte) {
+	inherited := map[string]silentWorker{}
+	if err := cbor.Unmarshal(b, &inherited); err != nil {
+		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
+	}
+	e.inheritedSilent = inherited
+	for worker := range inherited {
+		e.silent[worker] = true
+	}
+	for _, w := range e.workers {
+		w.expiredBy = e.predecessorExpiry(w.ID)
+	}
+}
+
+// updateSilent writes the silent record at intervals until the context ends.
+func (e *Engine) updateSilent(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer.Pause(ctx, silentInterval)
+		e.mu.Lock()
+		e.recordSilent()
+		e.mu.Unlock()
+	}
+}
+
+// recordSilent writes the silent record unless it is and stays empty.
+func (e *Engine) recordSilent() {
+	silent := e.silentWorkers()
+	if len(silent) > 0 || len(e.silent) > 0 {
+		e.writeSilent(silent, func(error) {})
+	}
+}
+
+// silentWorkers returns the content of the silent record.
+func (e *Engine) silentWorkers() map[string]silentWorker {
+	silent := map[string]silentWorker{}
+	for _, w := range e.workers {
+		if e.admitted[w.ID] || w.admitting || w.clockAt != 0 || len(w.runs) == 0 || (w.silentSince == 0 && w.Host != "") {
+			continue
+		}
+		s := silentWorker{Token: e.Lease.Token - 1, Left: max(0, w.expiredBy-e.SinceBoot()).Milliseconds() + 1} // rounded up
+		if inherited, ok := e.inheritedSilent[w.ID]; ok {
+			s.Token = inherited.Token
+		}
+		silent[w.ID] = s
+	}
+
+	return silent
+}
+
+// admitReports makes a worker that has reported usable. If the silent record lists it, the
+// entry must be durably removed before.
+func (e *Engine) admitReports(w *worker) {
+	switch {
+	case w.reported || w.admitting:
+		return
+	case !e.silent[w.ID]:
+		e.admit(w)
+
+		return
+	}
+	w.admitting = true
+	e.writeSilent(e.silentWorkers(), func(err error) {
+		w.admitting = false
+		if err == nil {
+			e.admit(w)
+			w.wakeSession()
+		}
+	})
+}
+
+// admit makes a worker usable. From now on this planner may grant it leases.
+func (e *Engine) admit(w *worker) {
+	w.reported, e.admitted[w.ID] = true, true
+	e.requestPass()
+}
+
+// writeSilent schedules the silent record. The callback is called like that of writer.put.
+func (e *Engine) writeSilent(silent map[string]silentWorker, f func(error)) {
+	b, err := work.Encode(silent)
+	if err != nil {
+		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
+
+		return
+	}
+	for worker := range silent {
+		e.silent[worker] = true
+	}
+	e.silentWrites++
+	number := e.silentWrites
+	e.writer.putRecord(work.Key(work.SilentRecord, ""), b, func(err error) {
+		if err == nil && number == e.silentWrites {
+			maps.DeleteFunc(e.silent, func(worker string, _ bool) bool {
+				_, listed := silent[worker]
+
+				return !listed
+			})
+		}
+		f(err)
+	})
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -160,6 +160,14 @@
 	f.publish(f.workers[id])
 }
 
+// Relist returns a worker to the list.
+func (f *Fleet) Relist(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].listed = true
+	f.publish(f.workers[id])
+}
+
 // Drain lists a worker as draining. left is the least time until it leaves.
 func (f *Fleet) Drain(id string, left time.Duration) {
 	f.mu.Lock()
