Don't count the validity of a predecessor that is known to have ended

Callers saw a job with nothing running and most room free: a worker had been taken away and the planner was replaced meanwhile. Each takeover waited for 5.2 s in which the predecessor might still have renewed the worker's lease, although the predecessor had released or handed over its lease, or another process answered in its place.

The wait now counts from the takeover alone in these cases, for that predecessor; earlier ones still count from when this VM knew that they had been superseded. The silent record carries the token of its writer and is used only if that is the direct predecessor: a planner of an older version grants leases without regard to it. It is also written at the takeover, so that the chain holds if planners are lost at short intervals.

Ruled out as proof of an end: a refused connection, since a cut may refuse.

--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -14,41 +14,50 @@
 // silentInterval is the interval between writes of the silent record while it has entries.
 const silentInterval = 500 * time.Millisecond
 
-// silentWorker is an entry of the silent record, which lists workers that have runs but do
-// not answer the planner. While it lists a worker, no planner grants that worker a lease. So
-// a new planner need not count the whole lease of a listed worker from its own takeover.
-type silentWorker struct {
-	_     struct{} `cbor:",toarray"`
-	Token int64    // newest token under which the worker may have been granted a lease
-	Left  int64    // milliseconds from the write until its leases must have expired
-}
+type (
+	// silentRecord lists workers that have runs but do not answer the planner. While it lists
+	// a worker, no planner grants that worker a lease. So a new planner need not count the whole
+	// lease of a listed worker from its own takeover.
+	silentRecord struct {
+		_       struct{} `cbor:",toarray"`
+		Token   int64    // of the planner that wrote it
+		Workers map[string]silentWorker
+	}
+
+	// silentWorker is an entry of a silentRecord.
+	silentWorker struct {
+		_     struct{} `cbor:",toarray"`
+		Token int64    // newest token under which the worker may have been granted a lease
+		Left  int64    // milliseconds from the write until its leases must have expired
+	}
+)
 
 // predecessorExpiry returns the time by which the leases that earlier planners granted a
 // worker have expired, so that every run started there before has ended. All planners
 // grant workers the same lease.
 func (e *Engine) predecessorExpiry(worker string) time.Duration {
-	granted := e.Timing.PredecessorValidity + time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
-	expiry := e.began + granted
+	lease := time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
 	s, ok := e.inheritedSilent[worker]
 	if !ok {
-		return expiry
-	}
-	if at, known := e.Lease.SupersededAt(s.Token); known {
-		expiry = min(expiry, at+granted)
+		return e.Lease.ActiveUntil(e.Lease.Token-1, e.Timing.PredecessorValidity) + lease
 	}
 
-	return min(expiry, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
+	return min(e.Lease.ActiveUntil(s.Token, e.Timing.PredecessorValidity)+lease, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
 }
 
-// loadSilent applies the silent record of the previous planners, which was written before
-// this planner fenced them.
+// loadSilent applies the silent record of the previous planner, which was written before this
+// planner fenced it. An older record is ignored: the previous planner may be of a version that
+// grants leases without regard to it.
 func (e *Engine) loadSilent(b []byte) {
-	inherited := map[string]silentWorker{}
-	if err := cbor.Unmarshal(b, &inherited); err != nil {
+	var r silentRecord
+	if err := cbor.Unmarshal(b, &r); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
 	}
-	e.inheritedSilent = inherited
-	for worker := range inherited {
+	if r.Token != e.Lease.Token-1 {
+		return
+	}
+	e.inheritedSilent = r.Workers
+	for worker := range r.Workers {
 		e.silent[worker] = true
 	}
 	for _, w := range e.workers {
@@ -78,11 +87,12 @@
 func (e *Engine) silentWorkers() map[string]silentWorker {
 	silent := map[string]silentWorker{}
 	for _, w := range e.workers {
-		if e.admitted[w.ID] || w.admitting || w.clockAt != 0 || len(w.runs) == 0 || (w.silentSince == 0 && w.Host != "") {
+		inherited, listed := e.inheritedSilent[w.ID]
+		if e.admitted[w.ID] || w.admitting || w.clockAt != 0 || len(w.runs) == 0 || (!listed && w.silentSince == 0 && w.Host != "") {
 			continue
 		}
 		s := silentWorker{Token: e.Lease.Token - 1, Left: max(0, w.expiredBy-e.SinceBoot()).Milliseconds() + 1} // rounded up
-		if inherited, ok := e.inheritedSilent[w.ID]; ok {
+		if listed {
 			s.Token = inherited.Token
 		}
 		silent[w.ID] = s
@@ -120,7 +130,7 @@
 
 // writeSilent schedules the silent record. The callback is called like that of writer.put.
 func (e *Engine) writeSilent(silent map[string]silentWorker, f func(error)) {
-	b, err := work.Encode(silent)
+	b, err := work.Encode(silentRecord{Token: e.Lease.Token, Workers: silent})
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
 
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -28,6 +28,8 @@
 	topic = "keyed.lead" // contains only the lease record
 	key   = "planner"
 
+	firstToken = 1 // fencing token of the first holder
+
 	renewRetryInterval = 100 * time.Millisecond // a renewal that gets no answer is resent at this interval
 	renewAttempts      = 6                      // maximum number of copies sent of one renewal
 )
@@ -107,6 +109,7 @@
 		missedAt        time.Duration // boot time of the latest failed heartbeat; 0 if the latest one succeeded
 		lease           *Lease        // nil unless this VM holds the lease
 		sightings       []sighting    // tokens seen, in ascending order
+		endedToken      int64         // newest token whose holder is known to act no more
 		leaving         bool
 		offer           *offer        // pending offer of the lease to this VM
 		lastOfferAt     time.Duration // boot time at which the lease was last offered to a stronger VM
@@ -123,13 +126,14 @@
 	Lease struct {
 		Token int64 // fencing token
 
-		sightings  []sighting
-		sinceBoot  func() time.Duration
-		validUntil atomic.Int64    // boot time up to which orders may be issued
-		renewedAt  atomic.Int64    // boot time of the newest renewal
-		renewal    atomic.Int64    // number of the newest renewal
-		ctx        context.Context // cancelled when the lease ends
-		cancel     context.CancelFunc
+		sightings        []sighting
+		predecessorEnded bool // the previous holder was known to act no more when this lease was acquired
+		sinceBoot        func() time.Duration
+		validUntil       atomic.Int64    // boot time up to which orders may be issued
+		renewedAt        atomic.Int64    // boot time of the newest renewal
+		renewal          atomic.Int64    // number of the newest renewal
+		ctx              context.Context // cancelled when the lease ends
+		cancel           context.CancelFunc
 	}
 )
 
@@ -147,16 +151,31 @@
 // Renewed returns the time since the newest renewal and the number of that renewal.
 func (l *Lease) Renewed() (time.Duration, int64) { return l.Age(), l.renewal.Load() }
 
-// SupersededAt returns the earliest boot time at which this VM knew that a later token than
+// ActiveUntil returns a boot time from which no holder of the given token or of an earlier one,
+// which must all be older than this lease, issues orders. A holder acts for at most the given
+// validity after its successor has acquired the lease, and no longer if it is known to have
+// given the lease up or to have been replaced by another process.
+func (l *Lease) ActiveUntil(token int64, validity time.Duration) time.Duration {
+	switch {
+	case token < firstToken:
+		return 0
+	case token == l.Token-1 && l.predecessorEnded:
+		return max(l.supersededAt(token), l.ActiveUntil(token-1, validity))
+	}
+
+	return l.supersededAt(token) + validity
+}
+
+// supersededAt returns the earliest boot time at which this VM knew that a later token than
 // the given one had been issued.
-func (l *Lease) SupersededAt(token int64) (time.Duration, bool) {
+func (l *Lease) supersededAt(token int64) time.Duration {
 	for _, s := range l.sightings {
 		if s.token > token {
-			return s.at, true
+			return s.at
 		}
 	}
 
-	return 0, false
+	return l.sinceBoot()
 }
 
 // Invalidate invalidates the lease and cancels its context, which stops the planner. It is
@@ -288,6 +307,7 @@
 		e.status, e.statusRenewedAt = status, e.SinceBoot()-status.Age
 	case errors.Is(err, ErrReplaced):
 		e.leaseTimeout = 0
+		e.endedToken = max(e.endedToken, h.Token)
 	case errors.Is(err, ErrNoProcess):
 		e.leaseTimeout = e.DeadHolderTimeout
 	}
@@ -335,6 +355,9 @@
 		}
 		e.holder = h
 		e.recordSighting(h.Token)
+		if h.Released {
+			e.endedToken = max(e.endedToken, h.Token)
+		}
 	}
 	if e.statusRenewedAt != 0 && e.status.Renewal == e.holder.Renewal {
 		e.unchangedSince = min(e.unchangedSince, e.statusRenewedAt) // the holder itself reported when it made this renewal
@@ -394,7 +417,7 @@
 	e.mu.Lock()
 	e.holder, e.end, e.lease, e.unchangedSince = next, newEnd, l, sent
 	e.recordSighting(next.Token)
-	l.sightings = slices.Clone(e.sightings)
+	l.sightings, l.predecessorEnded = slices.Clone(e.sightings), mine || e.endedToken >= h.Token
 	e.mu.Unlock()
 	e.Log.Info().Str("event", "lease-taken").Int64("token", next.Token).Int64("offset", newEnd).Str("predecessor", h.Name).Msg("")
 
--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -121,6 +121,7 @@
 	}
 	e.holder.Token, e.holder.Released = o.token, true
 	e.known, e.end = true, o.end
+	e.endedToken = max(e.endedToken, o.token) // its holder issues no orders once the offer is accepted
 	e.mu.Unlock()
 	l := e.tryAcquire(ctx)
 	o.acquired <- l != nil
