Withdraw an offered lease when the call that offers it ends

A planner that offers its lease acts on once the other VM answers that it refused. HandleOffer answered so when its context ended, and left the offer pending: the VM could still acquire the lease afterwards, beside a planner that gave orders until its next renewal. The wait for a worker's lease now relies on an offer ending its holder's orders, so this could have let a task run twice.

The offer is withdrawn with its call; one that is being accepted decides the answer; a second offer refuses the first. TestWithdrawnOffer and TestReplacedOffer failed before (the offer was pending; the first call never returned).

--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -93,7 +93,7 @@
 	e.mu.Lock()
 	refused := e.leaving || e.lease != nil || e.holder.Token > token
 	if !refused {
-		e.offer = o
+		e.replaceOffer(o)
 	}
 	e.mu.Unlock()
 	if refused {
@@ -104,8 +104,22 @@
 	case acquired := <-o.acquired:
 		return acquired
 	case <-ctx.Done():
-		return false
 	}
+	e.mu.Lock()
+	if e.offer == o {
+		e.replaceOffer(nil)
+	}
+	e.mu.Unlock()
+
+	return <-o.acquired // an offer that was being accepted is not refused
+}
+
+// replaceOffer replaces the pending offer, which it refuses. The caller holds mu.
+func (e *Elector) replaceOffer(o *offer) {
+	if e.offer != nil {
+		e.offer.acquired <- false
+	}
+	e.offer = o
 }
 
 // acceptOffer acquires the lease of a pending offer. It returns nil if there is no offer, the
@@ -113,12 +127,13 @@
 func (e *Elector) acceptOffer(ctx context.Context) *Lease {
 	e.mu.Lock()
 	o := e.offer
-	e.offer = nil
 	if o == nil || o.token < e.holder.Token {
+		e.replaceOffer(nil)
 		e.mu.Unlock()
 
 		return nil
 	}
+	e.offer = nil
 	e.holder.Token, e.holder.Released = o.token, true
 	e.known, e.end = true, o.end
 	e.endedToken = max(e.endedToken, o.token) // its holder issues no orders once the offer is accepted
--- a/internal/run/lead/transfer_test.go
+++ b/internal/run/lead/transfer_test.go
@@ -48,3 +48,47 @@
 		})
 	}
 }
+
+// TestWithdrawnOffer ends the call that offers the lease before the offer is accepted. It
+// guards against a VM that acquires the lease after its holder was told that it was refused.
+func TestWithdrawnOffer(t *testing.T) {
+	e := New(Config{SinceBoot: func() time.Duration { return time.Hour }, Log: &log.Logger{Level: log.PanicLevel}})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, e.HandleOffer(ctx, 3, 10))
+	require.False(t, e.hasOffer())
+	require.Nil(t, e.acceptOffer(t.Context()))
+}
+
+// TestReplacedOffer makes a second offer before the first one is accepted. It guards against
+// a call that waits for ever for the outcome of the first.
+func TestReplacedOffer(t *testing.T) {
+	e := New(Config{SinceBoot: func() time.Duration { return time.Hour }, Log: &log.Logger{Level: log.PanicLevel}})
+	first := make(chan bool, 1)
+	go func() { first <- e.HandleOffer(t.Context(), 3, 10) }()
+	require.Eventually(t, e.hasOffer, time.Second, time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.False(t, e.HandleOffer(ctx, 4, 12))
+	require.False(t, <-first)
+}
+
+// TestActiveUntil guards against a wait for a worker's lease that is shorter than the time
+// for which an earlier holder may have renewed it.
+func TestActiveUntil(t *testing.T) {
+	sightings := []sighting{{token: 2, at: 10 * time.Second}, {token: 4, at: 20 * time.Second}, {token: 5, at: 30 * time.Second}}
+	for _, c := range []struct {
+		token int64
+		ended bool
+		want  time.Duration
+	}{
+		{token: 4, want: 35 * time.Second},
+		{token: 4, ended: true, want: 30 * time.Second}, // token 3 was superseded at 20 s at the latest
+		{token: 3, ended: true, want: 25 * time.Second},
+		{token: 1, ended: true, want: 15 * time.Second},
+		{token: 0, want: 0},
+	} {
+		l := &Lease{Token: 5, sightings: sightings, predecessorEnded: c.ended}
+		require.Equal(t, c.want, l.ActiveUntil(c.token, 5*time.Second), "token %d", c.token)
+	}
+}
