Planners record that they are about to grant leases

Callers saw a task that could run and did not: the worker of its predecessor had left while planners were lost one after the other.

A planner now writes the silent record, with its token, before it grants the first lease. A successor that finds the record of an earlier planner knows that those in between have granted none, and counts from when that one was superseded. Planners of earlier versions don't write the record: their names lack the mark, and beside an unmarked or unseen one the wait stays as it was. Costs one append a takeover.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -117,7 +117,9 @@
 		silent            map[string]bool         // workers that the silent record lists, or may list
 		admitted          map[string]bool         // workers that this planner may have granted a lease, also in earlier incarnations
 		silentWrites      int                     // number of scheduled writes of the silent record
-		inheritedSilent   map[string]silentWorker // silent record of the previous planners
+		grantRecorded     bool                    // the silent record of this planner is durable
+		lastGranter       int64                   // newest earlier token under which leases may have been granted
+		inheritedSilent   map[string]silentWorker // workers of the silent record of the previous planners
 		adviceStep        string                  // name of the step whose advice request is in flight; empty if none is
 		ready             bool                    // the takeover is complete: calls are accepted
 		began             time.Duration           // when Run was called
@@ -184,7 +186,7 @@
 // the lease is lost.
 func (e *Engine) Run(ctx context.Context) {
 	e.ctx = ctx
-	e.began = e.SinceBoot()
+	e.began, e.lastGranter = e.SinceBoot(), e.Lease.Token-1
 	if err := e.recover(ctx); err != nil {
 		e.Log.Warn().Str("event", "recovery-ended").Err(err).Int64("token", e.Lease.Token).Msg("")
 
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -65,7 +65,7 @@
 	e.handinOffset, e.handinReadAt = handins.End, e.fencedAt
 	e.rebuildJobs(jobs.Records, handins.Records)
 	e.adopt()
-	e.recordSilent()
+	e.recordGrants()
 
 	return nil
 }
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -107,7 +107,7 @@
 // start starts a new incarnation of a VM.
 func (r *rig) start(name string) {
 	r.incarnations++
-	v := &vm{name: fmt.Sprintf("%s/%d", name, r.incarnations), cores: r.coresOf(name), done: make(chan struct{})}
+	v := &vm{name: fmt.Sprintf("%s/%d", name, r.incarnations) + lead.GrantMark, cores: r.coresOf(name), done: make(chan struct{})}
 	cpu := &processor{callTime: time.Duration(float64(callCost) / v.cores)}
 	gate := func() {
 		if c := v.frozen.Load(); c != nil {
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -39,24 +39,24 @@
 	lease := time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
 	s, ok := e.inheritedSilent[worker]
 	if !ok {
-		return e.Lease.ActiveUntil(e.Lease.Token-1, e.Timing.PredecessorValidity) + lease
+		return e.Lease.ActiveUntil(e.lastGranter, e.Timing.PredecessorValidity) + lease
 	}
 
 	return min(e.Lease.ActiveUntil(s.Token, e.Timing.PredecessorValidity)+lease, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
 }
 
-// loadSilent applies the silent record of the previous planner, which was written before this
-// planner fenced it. An older record is ignored: the previous planner may be of a version that
-// grants leases without regard to it.
+// loadSilent applies the silent record, which was written before this planner fenced its
+// predecessors. Planners that did not write it granted no leases, unless one of them may be of
+// a version that does not write the record at all: then the record is ignored.
 func (e *Engine) loadSilent(b []byte) {
 	var r silentRecord
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
 	}
-	if r.Token != e.Lease.Token-1 {
+	if !e.Lease.AllMarked(r.Token) {
 		return
 	}
-	e.inheritedSilent = r.Workers
+	e.lastGranter, e.inheritedSilent = r.Token, r.Workers
 	for worker := range r.Workers {
 		e.silent[worker] = true
 	}
@@ -101,25 +101,36 @@
 	return silent
 }
 
-// admitReports makes a worker that has reported usable. If the silent record lists it, the
-// entry must be durably removed before.
+// recordGrants writes the silent record of this planner before it grants the first lease: if a
+// later planner finds another one's, this one has granted none.
+func (e *Engine) recordGrants() {
+	e.writeSilent(e.silentWorkers(), func(err error) { e.grantRecorded = e.grantRecorded || err == nil })
+}
+
+// admitReports makes a worker that has reported usable. The silent record of this planner must
+// be durable before, without an entry of the worker.
 func (e *Engine) admitReports(w *worker) {
 	switch {
 	case w.reported || w.admitting:
 		return
-	case !e.silent[w.ID]:
+	case e.silent[w.ID]:
+		w.admitting = true
+		e.writeSilent(e.silentWorkers(), func(err error) { e.endAdmitting(w, err) })
+	case !e.grantRecorded:
+		w.admitting = true
+		e.writer.after(func(err error) { e.endAdmitting(w, err) })
+	default:
 		e.admit(w)
+	}
+}
 
-		return
+// endAdmitting makes a worker usable once the record that precedes its first lease is durable.
+func (e *Engine) endAdmitting(w *worker, err error) {
+	w.admitting = false
+	if err == nil {
+		e.admit(w)
+		w.wakeSession()
 	}
-	w.admitting = true
-	e.writeSilent(e.silentWorkers(), func(err error) {
-		w.admitting = false
-		if err == nil {
-			e.admit(w)
-			w.wakeSession()
-		}
-	})
 }
 
 // admit makes a worker usable. From now on this planner may grant it leases.
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,10 @@
 
 	firstToken = 1 // fencing token of the first holder
 
+	// GrantMark is the suffix of the name of a VM that durably records, as planner, that it is
+	// about to grant workers leases. VMs of earlier versions don't.
+	GrantMark = "/g"
+
 	renewRetryInterval = 100 * time.Millisecond // a renewal that gets no answer is resent at this interval
 	renewAttempts      = 6                      // maximum number of copies sent of one renewal
 )
@@ -118,8 +123,9 @@
 
 	// sighting is the first time at which this VM knew that a token had been issued.
 	sighting struct {
-		token int64
-		at    time.Duration // boot time
+		token  int64
+		at     time.Duration // boot time
+		marked bool          // the holder's name has GrantMark
 	}
 
 	// Lease is the planner's lease while this VM holds it.
@@ -166,6 +172,19 @@
 	return l.supersededAt(token) + validity
 }
 
+// AllMarked reports whether this VM has seen every holder between the given token and this
+// lease, and the names of all of them have GrantMark.
+func (l *Lease) AllMarked(after int64) bool {
+	marked := int64(0)
+	for _, s := range l.sightings {
+		if s.token > after && s.token < l.Token && s.marked {
+			marked++
+		}
+	}
+
+	return marked == l.Token-1-after
+}
+
 // supersededAt returns the earliest boot time at which this VM knew that a later token than
 // the given one had been issued.
 func (l *Lease) supersededAt(token int64) time.Duration {
@@ -354,7 +373,7 @@
 			e.Log.Info().Str("event", "planner-seen").Str("planner", h.Name).Int64("token", h.Token).Bool("released", h.Released).Msg("")
 		}
 		e.holder = h
-		e.recordSighting(h.Token)
+		e.recordSighting(h)
 		if h.Released {
 			e.endedToken = max(e.endedToken, h.Token)
 		}
@@ -416,7 +435,7 @@
 	l.extend(sent, e.LeaseValidity, next.Renewal)
 	e.mu.Lock()
 	e.holder, e.end, e.lease, e.unchangedSince = next, newEnd, l, sent
-	e.recordSighting(next.Token)
+	e.recordSighting(next)
 	l.sightings, l.predecessorEnded = slices.Clone(e.sightings), mine || e.endedToken >= h.Token
 	e.mu.Unlock()
 	e.Log.Info().Str("event", "lease-taken").Int64("token", next.Token).Int64("offset", newEnd).Str("predecessor", h.Name).Msg("")
@@ -424,10 +443,10 @@
 	return l
 }
 
-// recordSighting records that a token has been issued. The caller holds mu.
-func (e *Elector) recordSighting(token int64) {
-	if n := len(e.sightings); n == 0 || token > e.sightings[n-1].token {
-		e.sightings = append(e.sightings, sighting{token, e.SinceBoot()})
+// recordSighting records that a holder's token has been issued. The caller holds mu.
+func (e *Elector) recordSighting(h Holder) {
+	if n := len(e.sightings); n == 0 || h.Token > e.sightings[n-1].token {
+		e.sightings = append(e.sightings, sighting{h.Token, e.SinceBoot(), strings.HasSuffix(h.Name, GrantMark)})
 	}
 }
 
--- a/internal/run/lead/transfer_test.go
+++ b/internal/run/lead/transfer_test.go
@@ -92,3 +92,13 @@
 		require.Equal(t, c.want, l.ActiveUntil(c.token, 5*time.Second), "token %d", c.token)
 	}
 }
+
+// TestAllMarked guards against a successor that takes a planner of an earlier version, or one
+// that it has not seen, for one that records its grants.
+func TestAllMarked(t *testing.T) {
+	l := &Lease{Token: 5, sightings: []sighting{{token: 1}, {token: 3, marked: true}, {token: 4, marked: true}, {token: 5, marked: true}}}
+	require.True(t, l.AllMarked(4))
+	require.True(t, l.AllMarked(2))
+	require.False(t, l.AllMarked(1))
+	require.False(t, l.AllMarked(0))
+}
