--- a/internal/standin/fleet/run.go
+++ b/internal/standin/fleet/run.go
@@ -16,6 +16,7 @@
 	updated     time.Time     // time up to which workDone is counted
 	workDone    time.Duration // work done, as time at full speed
 	working     bool          // the run makes progress: its gang, if any, is complete
+	gangSpeed   float64       // factor on the speed of the run, by the racks of its gang; set when it starts to work
 	length      time.Duration // work until the run ends by itself
 	plannedEnd  target.How    // how the run ends when its work is done
 	killAt      time.Time     // end of the grace period of a stop; zero without a stop
@@ -57,22 +58,22 @@
 	gang, present := f.gang(r)
 	f.checkLatencyTarget(w, r)
 	if r.working {
-		r.workDone += time.Duration(w.speed * float64(r.percent) / 100 * float64(time.Since(r.updated)))
+		r.workDone += time.Duration(w.speed * r.gangSpeed * float64(r.percent) / 100 * float64(time.Since(r.updated)))
 		r.updated = time.Now()
 	}
 	switch {
 	case w.clock() > w.deadline:
-		w.end(r, target.LeaseExpired)
+		f.endRun(w, r, target.LeaseExpired)
 	case !r.killAt.IsZero() && time.Now().After(r.killAt):
-		w.end(r, target.Stopped)
+		f.endRun(w, r, target.Stopped)
 	case gang > 0 && present < gang && r.working:
-		w.end(r, target.GangBroken)
+		f.endRun(w, r, target.GangBroken)
 	case gang > 0 && present < gang && time.Since(r.started) > gangTimeout:
-		w.end(r, target.GangIncomplete)
+		f.endRun(w, r, target.GangIncomplete)
 		f.Journal.incompleteGangRuns++
 	case gang > 0 && present < gang:
 	case !r.working:
-		r.working, r.updated = true, time.Now()
+		r.working, r.updated, r.gangSpeed = true, time.Now(), f.gangSpeed(r)
 	case f.isEndless(r):
 	case r.workDone >= r.length:
 		f.finish(r, gang)
@@ -90,7 +91,7 @@
 				if o != r && how != target.Done {
 					how = target.GangBroken
 				}
-				w.end(o, how)
+				f.endRun(w, o, how)
 			}
 		}
 	}
@@ -116,13 +117,69 @@
 	if !ok || !j.Steps[r.task.Step].Gang {
 		return 0, 0
 	}
+	if f.present != nil {
+		return j.Steps[r.task.Step].Count, f.present[r.gangKey()]
+	}
+	f.eachMember(r, func(*Worker) { present++ })
+
+	return j.Steps[r.task.Step].Count, present
+}
+
+// gangKey identifies a run of a gang.
+type gangKey struct {
+	job         string
+	occur, step int
+	run         int64
+}
+
+func (r *activeRun) gangKey() gangKey {
+	return gangKey{r.task.Job, r.task.Occur, r.task.Step, r.run}
+}
+
+// countMembers counts the active runs of each gang on workers that are up.
+func (f *Fleet) countMembers() map[gangKey]int {
+	n := map[gangKey]int{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if w.up {
+				n[r.gangKey()]++
+			}
+		}
+	}
+
+	return n
+}
+
+// eachMember calls do with the worker of each active member of a run's gang.
+func (f *Fleet) eachMember(r *activeRun, do func(w *Worker)) {
 	for _, w := range f.workers {
 		for _, o := range w.runs {
-			if w.up && o.task.Job == r.task.Job && o.task.Step == r.task.Step && o.task.Occur == r.task.Occur && o.run == r.run {
-				present++
+			if w.up && o.gangKey() == r.gangKey() {
+				do(w)
 			}
 		}
 	}
+}
 
-	return j.Steps[r.task.Step].Count, present
+// gangSpeed returns the factor on the speed of a gang's run: if the gang must be on one rack
+// and is on several, its work takes SpreadSlowdown times as long.
+func (f *Fleet) gangSpeed(r *activeRun) float64 {
+	if f.SpreadSlowdown == 0 || !f.stepOf(r).SameRack {
+		return 1
+	}
+	racks := map[string]bool{}
+	f.eachMember(r, func(w *Worker) { racks[w.Rack] = true })
+	if len(racks) <= 1 {
+		return 1
+	}
+
+	return 1 / f.SpreadSlowdown
+}
+
+// endRun ends a run during advance.
+func (f *Fleet) endRun(w *Worker, r *activeRun, how target.How) {
+	if w.up && f.present != nil {
+		f.present[r.gangKey()]--
+	}
+	w.end(r, how)
 }
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -36,13 +36,17 @@
 		// CrossIncarnations lets an order that is executed late reach an incarnation of the
 		// worker that started after the order was sent.
 		CrossIncarnations bool
-		Random            func() float64 // returns a number in [0,1)
+		// SpreadSlowdown is how much longer a gang takes that must be on one rack and is on
+		// several. There is no difference if it is 0.
+		SpreadSlowdown float64
+		Random         func() float64 // returns a number in [0,1)
 		// Outcome returns the length of a run, as work at full speed, and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 
 		mu          sync.Mutex
 		hosts       hosts
 		workers     map[string]*Worker
+		present     map[gangKey]int         // active members by gang; nil outside advance
 		changes     []string                // log of the workers whose entries changed, in order
 		lateShare   float64                 // share of the orders that get no reply and are executed later
 		lostShare   float64                 // share of the orders that are executed but get no reply
@@ -444,6 +448,8 @@
 
 // advance updates all runs to the current time. f.mu must be held.
 func (f *Fleet) advance() {
+	f.present = f.countMembers()
+	defer func() { f.present = nil }()
 	for _, id := range sortedIDs(f.workers) {
 		w := f.workers[id]
 		if !w.up {
