Check for jobs kept out of ample free capacity (red)

Callers saw accepted jobs without any run at the end of the traffic with most of the room free. TestKeptOut has a script for each constraint that does this, TestIdleWaits replays loads. No logic of the planner changes.

--- a/internal/run/engine/replay_test.go
+++ b/internal/run/engine/replay_test.go
@@ -46,6 +46,8 @@
 		Troubles   []disturbance
 		Worth      float64 // lower bound of the share of the credit that is earned
 		Wasted     float64 // upper bound of the share of the workers' capacity that is spent on discarded work
+
+		watch *idleWatch // nil if idle waits are not checked
 	}
 
 	// jobKind describes a kind of job by its distributions.
@@ -76,7 +78,7 @@
 
 	// disturbance is a fault or a burst of arrivals.
 	disturbance struct {
-		Kind  string  // burst, slow, leave, silent, late or planner
+		Kind  string  // burst, slow, leave, silent, late, restart, failing, power or planner
 		At    float64 // start in seconds after the first arrivals at Rate
 		For   float64
 		Share float64 // share of the workers or of the orders that are affected
@@ -196,6 +198,7 @@
 		r.start(n)
 	}
 	time.Sleep(2 * time.Second)
+	defer l.watch.start(r, all)()
 	l.submitAll(t, r, rnd, all)
 	s := l.score(r, all)
 	require.Empty(t, r.fleet.Violations())
@@ -340,6 +343,21 @@
 		r.fleet.SetOrderFaults(d.Share, 0)
 		time.Sleep(length)
 		r.fleet.SetOrderFaults(0, 0)
+	case "restart":
+		each(func(id string) {
+			r.fleet.Restart(id)
+			time.Sleep(length / time.Duration(len(picked)))
+		})
+	case "failing":
+		r.failOn(picked, length)
+	case "power":
+		for name := range r.running() {
+			r.kill(name)
+		}
+		time.Sleep(length)
+		for _, name := range []string{"a", "b", "c"} {
+			r.start(name)
+		}
 	case "planner":
 		name, _ := r.planner()
 		r.kill(name)
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -78,6 +78,7 @@
 		Queues: []policy.Queue{
 			{Name: "urgent", Service: "s", Priority: 0, Attempts: fleet.Attempts, Stretch: 1.5},
 			{Name: "batch", Service: "s", Priority: 1, Attempts: fleet.Attempts, Stretch: 3},
+			{Name: "other", Service: "t", Priority: 1, Attempts: fleet.Attempts, Stretch: 3},
 			{Name: "advised", Service: "s", Priority: 1, Attempts: fleet.Attempts, Stretch: 3, Advised: true},
 		},
 		Workspaces: []policy.Workspace{{Name: "v", Guaranteed: 16}, {Name: "w", Guaranteed: 16}},
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -190,9 +190,19 @@
 	d.MaybeScanArgs(t, "ms", &length)
 	d.MaybeScanArgs(t, "fails", &fails)
 	d.MaybeScanArgs(t, "index", &only)
-	var endless string
+	var endless, long, failing string
+	longMs := 0
 	d.MaybeScanArgs(t, "lasts", &endless)
-	r.fleet.SetOutcome(func(task work.Task, run int64, _ string) (time.Duration, target.How) {
+	d.MaybeScanArgs(t, "long", &long)
+	d.MaybeScanArgs(t, "longms", &longMs)
+	d.MaybeScanArgs(t, "failing", &failing)
+	r.fleet.SetOutcome(func(task work.Task, run int64, worker string) (time.Duration, target.How) {
+		if long != "" && strings.HasPrefix(task.Job, long) {
+			return time.Duration(longMs) * time.Millisecond, target.Done
+		}
+		if failing != "" && strings.HasPrefix(worker, failing) {
+			return 500 * time.Millisecond, target.Failed
+		}
 		if task.Job == endless {
 			return fleet.Endless, target.Done
 		}
@@ -211,6 +221,12 @@
 	s.Gang, s.SameRack, s.Checkpoints = d.HasArg("gang"), d.HasArg("together"), d.HasArg("checkpoints")
 	s.LongRunning = d.HasArg("lasting")
 	s.BestEffort, s.Speculative = d.HasArg("fills"), d.HasArg("speculative")
+	d.MaybeScanArgs(t, "label", &s.Label)
+	d.MaybeScanArgs(t, "near", &s.Rack)
+	d.MaybeScanArgs(t, "spread", &s.MaxPerWorker)
+	estimate := int(s.Estimate)
+	d.MaybeScanArgs(t, "estimate", &estimate)
+	s.Estimate = int64(estimate)
 	d.MaybeScanArgs(t, "mayMiss", &s.MaxUnavailable)
 	d.MaybeScanArgs(t, "target", &s.LatencyTarget)
 	j := work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{s}}
