Bound how long a unit waits for its preferences beside free capacity

Memory lets one such task run on a worker, and scattered runs kept every rack from becoming free enough. SameRack, the rack of the data, workers that failed the job, spare workers and others' reservations are preferences of the scheduler, and only some were dropped after a wait.

A unit of whose job nothing runs is now overdue after 2 s if there is room for it twice and under half of every resource is in use, after 20 s if under half of some resource is. An overdue unit is placed as it prefers if that is possible, else anywhere; spares and reservations don't hold it.

TestKeptOut: ten scripts waited 5 to 120 s, now none over 3 s but spares, whose 12 s by CPU alone are the known bound (accelerators 90 % in use); TestIdleWaits: widegangs/2 waited 35 s, now passes.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -65,6 +65,7 @@
 		SpeedWeight  float64       // placement cost per unit of slowdown above 1
 		HasClaim     bool          // some worker is claimed by the unit
 		UsesSpares   bool          // may use spare workers whatever its priority
+		Overdue      bool          // has waited too long beside free capacity: its preferences and others' reservations no longer keep it waiting
 		MayEvict     bool          // may evict runs of a lower priority
 		Guaranteed   bool          // covered by its workspace's guarantee: may evict borrowed runs too
 	}
@@ -148,6 +149,7 @@
 	rack       string
 	priority   int
 	usesSpares bool
+	overdue    bool
 	bestEffort bool
 }
 
@@ -160,7 +162,7 @@
 		rack = u.DataRack
 	}
 
-	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, usesSpares: u.UsesSpares, bestEffort: u.BestEffort}, complete
+	return requirement{need: u.Need, service: u.Service, sameRack: u.Gang && u.SameRack, label: u.Label, rack: rack, priority: u.Priority, usesSpares: u.UsesSpares, overdue: u.Overdue, bestEffort: u.BestEffort}, complete
 }
 
 // failure is the smallest unit with a requirement that has not fit.
@@ -201,9 +203,22 @@
 	}
 }
 
-// place chooses workers for a unit: for all tasks of a gang or for none, for as many
-// of other tasks as fit.
+// place chooses workers for a unit. If none fits, an overdue unit is placed without regard to
+// its preferences.
 func place(workers []Worker, racks []rack, u *Unit) assignment {
+	a := placeAsPreferred(workers, racks, u)
+	if len(a.byTask) > 0 || !u.Overdue {
+		return a
+	}
+	relaxed := *u
+	relaxed.SameRack, relaxed.DataRackOnly, relaxed.Avoid = false, false, nil
+
+	return placeAsPreferred(workers, racks, &relaxed)
+}
+
+// placeAsPreferred chooses workers for a unit: for all tasks of a gang or for none, for as many
+// of other tasks as fit.
+func placeAsPreferred(workers []Worker, racks []rack, u *Unit) assignment {
 	if u.Gang && u.SameRack {
 		return placeOnRack(workers, racks, u)
 	}
@@ -376,7 +391,7 @@
 	switch {
 	case !w.Schedulable, u.Avoid[i], u.Allowed != nil && !u.Allowed[i]:
 		return false
-	case w.ClaimedBy != "" && w.ClaimedBy != u.Name, w.SpareBelow > 0 && u.Priority >= w.SpareBelow && !u.UsesSpares:
+	case w.ClaimedBy != "" && w.ClaimedBy != u.Name, w.keptSpare(u):
 		return false
 	case w.delaysReservation(u, a.perWorker[i]):
 		return false
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -31,6 +31,8 @@
 				return decide(t, slices.Clone(workers), d.Input)
 			case "explain":
 				return explain(t, slices.Clone(workers), d.Input)
+			case "overdue":
+				return overdue(t, workers, d)
 			case "rank":
 				return rank(t, d)
 			case "mayevict":
@@ -87,7 +89,7 @@
 func shape(n int) work.Shape { return work.Shape{CPU: 1000 * n, Memory: 1000 * n, Accelerators: n} }
 
 // readUnits parses lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
-// [guaranteed] [reserves] [spares] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
+// [guaranteed] [reserves] [spares] [overdue] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
 // [spread=N] [avoid=WORKER]".
 func readUnits(t *testing.T, input string) []placement.Unit {
 	var us []placement.Unit
@@ -111,6 +113,8 @@
 				u.MayEvict = true
 			case "spares":
 				u.UsesSpares = true
+			case "overdue":
+				u.Overdue = true
 			case "besteffort":
 				u.BestEffort = true
 			case "guaranteed":
@@ -147,6 +151,16 @@
 	return fmt.Sprintf("%+v", s)
 }
 
+// overdue returns whether a unit that has been idle for the given number of seconds is overdue.
+func overdue(t *testing.T, ws []placement.Worker, d *datadriven.TestData) string {
+	var idle string
+	d.ScanArgs(t, "idle", &idle)
+	u := readUnits(t, d.Input)[0]
+	s := placement.Explain(ws, &u)
+
+	return fmt.Sprint(placement.IsOverdue(&u, &s, seconds(t, idle)))
+}
+
 // decide returns the decision on the units of the input as text.
 func decide(t *testing.T, ws []placement.Worker, input string) string {
 	us := readUnits(t, input)
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -134,7 +134,7 @@
 // gang that the worker is reserved for.
 func (w *Worker) delaysReservation(u *Unit, n int) bool {
 	r := w.reserved
-	if r == nil || r.unit == u.Name || w.expectedLength(u) <= r.at {
+	if r == nil || u.Overdue || r.unit == u.Name || w.expectedLength(u) <= r.at {
 		return false
 	}
 
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -1,6 +1,10 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+
+	"sesameyoke/internal/core/work"
+)
 
 // Shortage tells why a unit was not placed: how many of its tasks fit on the workers that
 // could run it, and which constraint keeps out the others. Tasks are counted at the first
@@ -15,6 +19,7 @@
 	Reserved      int     // fit on workers reserved for another gang
 	Unschedulable int     // fit on workers that accept no new runs
 	UsedCPU       float64 // share of the CPU of the service's schedulable workers that is in use
+	UsedMemory    float64 // the same for the memory
 	UsedAccel     float64 // the same for the accelerators
 }
 
@@ -28,17 +33,14 @@
 func Explain(workers []Worker, u *Unit) Shortage {
 	var s Shortage
 	onRack := map[string]int{}
-	cpu, usedCPU, accel, usedAccel := 0, 0, 0, 0
+	var capacity, free work.Shape
 	for i := range workers {
 		w := &workers[i]
 		if w.Service != u.Service {
 			continue
 		}
 		if w.Schedulable {
-			cpu += w.Capacity.CPU
-			usedCPU += w.Capacity.CPU - w.Free.CPU
-			accel += w.Capacity.Accelerators
-			usedAccel += w.Capacity.Accelerators - w.Free.Accelerators
+			capacity, free = capacity.Plus(w.Capacity), free.Plus(w.Free)
 		}
 		n := w.fitting(i, u)
 		*s.count(w, i, u) += n
@@ -49,7 +51,8 @@
 	for _, n := range onRack {
 		s.FitOnRack = max(s.FitOnRack, n)
 	}
-	s.UsedCPU, s.UsedAccel = ratio(usedCPU, cpu), ratio(usedAccel, accel)
+	used := capacity.Minus(free)
+	s.UsedCPU, s.UsedMemory, s.UsedAccel = ratio(used.CPU, capacity.CPU), ratio(used.Memory, capacity.Memory), ratio(used.Accelerators, capacity.Accelerators)
 
 	return s
 }
@@ -82,7 +85,7 @@
 		return &s.OtherRack
 	case w.ClaimedBy != "" && w.ClaimedBy != u.Name:
 		return &s.Claimed
-	case w.SpareBelow > 0 && u.Priority >= w.SpareBelow && !u.UsesSpares:
+	case w.keptSpare(u):
 		return &s.Spare
 	case w.delaysReservation(u, 0):
 		return &s.Reserved
--- a/internal/core/placement/spare.go
+++ b/internal/core/placement/spare.go
@@ -62,3 +62,8 @@
 }
 
 func (w *Worker) idle() bool { return w.Schedulable && w.Free == w.Capacity }
+
+// keptSpare reports whether the worker is kept idle for units other than u.
+func (w *Worker) keptSpare(u *Unit) bool {
+	return w.SpareBelow > 0 && u.Priority >= w.SpareBelow && !u.UsesSpares && !u.Overdue
+}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -199,6 +199,7 @@
 		}
 	}
 	e.relaxConstraints(c, f)
+	e.assessOverdue(c, f)
 }
 
 // onLastAttempt reports whether one more failure of the unit fails its job.
--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -12,12 +12,16 @@
 	waitLogInterval = 2 * time.Second
 	// Largest number of such lines in one pass.
 	maxWaitLines = 8
+	// Interval between assessments of whether an idle step is overdue.
+	overdueInterval = 250 * time.Millisecond
 )
 
 // idleStep is a step that waits for placement while its job has no runs.
 type idleStep struct {
-	since    time.Duration
-	loggedAt time.Duration
+	since      time.Duration
+	loggedAt   time.Duration
+	overdue    bool          // see placement.IsOverdue
+	assessedAt time.Duration // when it was last assessed whether it is overdue
 }
 
 // noteIdle records since when the candidates' steps wait while their jobs have no runs.
@@ -34,12 +38,27 @@
 		}
 		key := c.stepKey()
 		if idle[key] = e.idle[key]; idle[key] == nil {
-			idle[key] = &idleStep{since: e.SinceBoot()}
+			idle[key] = &idleStep{since: e.SinceBoot(), assessedAt: e.SinceBoot()}
 		}
 	}
 	e.idle = idle
 }
 
+// assessOverdue determines whether a candidate has waited too long for what it prefers. It
+// expects the candidate's other constraints.
+func (e *Engine) assessOverdue(c *candidate, f *fleetSnapshot) {
+	now := e.SinceBoot()
+	s := e.idle[c.stepKey()]
+	if s == nil {
+		return
+	}
+	if now >= s.assessedAt+overdueInterval {
+		shortage := placement.Explain(f.workers, &c.unit)
+		s.overdue, s.assessedAt = placement.IsOverdue(&c.unit, &shortage, now-s.since), now
+	}
+	c.unit.Overdue = s.overdue
+}
+
 func (c *candidate) stepKey() stepKey { return stepKey{c.job, occurStep{c.occur, c.step}} }
 
 // logWaiting logs why the idle steps that were not placed wait, and the state of units of which
@@ -70,10 +89,10 @@
 	u := &c.unit
 	e.Log.Info().Str("event", "unit-waits").Str("id", c.job.ID).Str("unit", u.Name).Dur("idle", idle).Dur("waited", e.SinceBoot()-c.job.acceptedAt).
 		Int("priority", u.Priority).Int("tasks", len(u.Tasks)).Bool("gang", u.Gang).Bool("samerack", u.SameRack).Str("datarack", u.DataRack).
-		Int("cpu", u.Need.CPU).Int("memory", u.Need.Memory).Int("accelerators", u.Need.Accelerators).Bool("claim", u.HasClaim).
+		Int("cpu", u.Need.CPU).Int("memory", u.Need.Memory).Int("accelerators", u.Need.Accelerators).Bool("claim", u.HasClaim).Bool("overdue", u.Overdue).
 		Int("fit", s.Fit).Int("onrack", s.FitOnRack).Int("avoided", s.Avoided).Int("otherrack", s.OtherRack).Int("claimed", s.Claimed).
 		Int("spare", s.Spare).Int("reserved", s.Reserved).Int("unschedulable", s.Unschedulable).
-		Float64("usedcpu", s.UsedCPU).Float64("usedaccel", s.UsedAccel).Msg("")
+		Float64("usedcpu", s.UsedCPU).Float64("usedmemory", s.UsedMemory).Float64("usedaccel", s.UsedAccel).Msg("")
 }
 
 // logFleet logs how many workers accept no runs, by reason.
