Log which runs a worker lost and why

On-call engineers couldn't see from the logs which task is on every worker that crashes: a crash, a cut path and a drained worker all ended as run-ended how=lapsed, and which other runs were on the worker had to be put together from the starts.

One line for each loss: the worker, its incarnations, the cause (unannounced restart, drain, maintenance, expired lease), and each run with its age when the connection broke. A restart counts as announced if the worker was draining before, or if its host was ordered down. No decision depends on it yet.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -97,7 +97,7 @@
 		e.requestPass()
 	}
 	used := w.Capacity.Minus(w.free)
-	incarnation := w.Incarnation
+	incarnation, draining := w.Incarnation, w.Draining
 	w.Worker = t
 	w.free = t.Capacity.Minus(used)
 	w.listed = true
@@ -106,7 +106,7 @@
 		w.Incarnation = t.Incarnation
 	}
 	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation {
-		e.handleRestart(w, t.Incarnation)
+		e.handleRestart(w, t.Incarnation, draining)
 		// The new incarnation has not seen this planner's token yet. A lease renewal tells
 		// it the token, so that it rejects orders that the previous planner may still send.
 		w.reported, w.expiredBy = false, w.notExpiredBefore
--- a/internal/run/engine/maintenance.go
+++ b/internal/run/engine/maintenance.go
@@ -163,6 +163,11 @@
 	for _, name := range d.Drain {
 		e.drainHost(w, name, hosts)
 	}
+	for _, h := range hosts {
+		if worker := e.workers[h.Worker]; worker != nil && slices.Contains(d.Down, h.Name) {
+			worker.maintainedUntil = now + e.Timing.HostDowntime + maintenanceSlack
+		}
+	}
 
 	return d
 }
@@ -189,6 +194,9 @@
 	if worker == nil {
 		return h
 	}
+	if h.MaybeDown {
+		worker.maintainedUntil = now + e.Timing.HostDowntime + maintenanceSlack
+	}
 	for _, m := range worker.members() {
 		h.LostWork += m.lostWork(now)
 		if m.unit.job.Steps[m.unit.step].LongRunning && !e.mayStop(m) {
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -143,6 +143,7 @@
 		return
 	case errors.Is(err, target.ErrOtherIncarnation):
 		e.Log.Warn().Str("event", "worker-replaced").Str("worker", w.ID).Str("address", w.Host).Msg("")
+		e.logLostRuns(w, e.restartCause(w, w.Draining), 0)
 		e.endAll(w, target.LeaseExpired)
 		w.Host = ""
 
@@ -154,7 +155,7 @@
 		return
 	}
 	if w.silentSince == 0 {
-		w.silentSince = sent
+		w.silentSince, w.lostAt = sent, e.SinceBoot()
 		e.Log.Warn().Str("event", "worker-lost").Str("worker", w.ID).Err(err).Int("runs", len(w.runs)).Msg("")
 	}
 	e.expireLease(w)
@@ -170,6 +171,7 @@
 	}
 	if len(w.runs) > 0 {
 		e.Log.Warn().Str("event", "lease-lapsed").Str("worker", w.ID).Int("runs", len(w.runs)).Msg("")
+		e.logLostRuns(w, lostByLease, 0)
 		e.endAll(w, target.LeaseExpired)
 	}
 	if !w.listed {
@@ -203,7 +205,7 @@
 		e.requestPass()
 	}
 	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
-		e.handleRestart(w, r.Incarnation)
+		e.handleRestart(w, r.Incarnation, w.Draining)
 	}
 	w.ackedEnd = max(w.ackedEnd, renewal.Acked)
 	inReport := map[*member]bool{}
@@ -228,8 +230,10 @@
 
 // handleRestart switches a worker to a new incarnation. It is not known which incarnation
 // answered a start, so a run counts as ended only if the new incarnation does not report it.
-func (e *Engine) handleRestart(w *worker, incarnation int64) {
+// The argument draining tells whether the previous incarnation had announced that it leaves.
+func (e *Engine) handleRestart(w *worker, incarnation int64, draining bool) {
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", w.Incarnation).Int("runs", len(w.runs)).Msg("")
+	e.logLostRuns(w, e.restartCause(w, draining), incarnation)
 	w.resetIncarnation(incarnation, e.SinceBoot()+e.maxLease())
 	for _, m := range w.members() {
 		// An unanswered start may still reach the new incarnation. Only a stop that this
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -52,7 +52,7 @@
 // dispatchStart sends the start of a planned member in the background.
 func (e *Engine) dispatchStart(m *member) {
 	u, w := m.unit, m.worker
-	m.phase = starting
+	m.phase, m.sentAt = starting, e.SinceBoot()
 	e.starts.inFlight++
 	order := target.Start{
 		Task: m.task(), Run: u.run, Spec: u.job.Spec, Token: e.Lease.Token, Saved: m.resumedFrom, Ticket: m.ticket,
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -35,6 +35,8 @@
 	durableEnd        int64                   // all run ends up to this number are durable
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
+	lostAt            time.Duration           // when the first report was found missing
+	maintainedUntil   time.Duration           // a restart until then is due to maintenance of its host
 	probedAt          time.Duration           // when a report was last requested from it while it was silent and without runs
 	refusingUntil     time.Duration           // receives no starts until then, because it refused one
 	cpuShare          cpushare.Limit          // CPU share of the best-effort tasks
@@ -155,5 +157,5 @@
 	w.seenEnd, w.durableEnd, w.ackedEnd = 0, 0, 0
 	w.deadline = 0
 	w.failures = straggler.FailureRecord{}
-	w.slowUntil, w.stalledUntil = 0, 0
+	w.slowUntil, w.stalledUntil, w.maintainedUntil = 0, 0, 0
 }
