--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -74,8 +74,9 @@
 // describeRuns lists the runs of a worker: task, run number, and age when the worker was
 // lost; "?" for a run whose start this planner has not sent.
 func (e *Engine) describeRuns(w *worker) string {
-	var all []string
-	for _, m := range w.members() {
+	members := w.members()
+	all := make([]string, 0, len(members))
+	for _, m := range members {
 		age := "?"
 		if a, ok := m.ageAtLoss(e.SinceBoot()); ok {
 			age = a.Round(time.Millisecond).String()
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -435,3 +435,12 @@
 
 	return fmt.Sprint(n)
 }
+
+// checkGivenUp checks that the accepted jobs that have failed were given up for a cause.
+func (r *rig) checkGivenUp() {
+	for id := range r.accepted {
+		if r.state(id) == "failed" {
+			r.fleet.CheckGivenUp(id)
+		}
+	}
+}
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -31,6 +31,7 @@
 			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 				return r.runCommand(t, d)
 			})
+			r.checkGivenUp()
 			require.Empty(t, r.fleet.Violations())
 		})
 	})
@@ -81,6 +82,8 @@
 		r.fleet.SetOrderFaults(late, lost)
 	case "outcome":
 		r.setOutcome(t, d)
+	case "deadly":
+		r.setDeadly(t, d, name)
 	case "submit":
 		return r.submitCommand(t, d, name)
 	case "handin":
@@ -204,6 +207,17 @@
 	})
 }
 
+// setDeadly lets tasks of the named job crash their workers: the one with the given index, or
+// all of them.
+func (r *rig) setDeadly(t *testing.T, d *datadriven.TestData, id string) {
+	index, ms := -1, 10
+	d.MaybeScanArgs(t, "index", &index)
+	d.MaybeScanArgs(t, "ms", &ms)
+	r.fleet.SetDeadly(func(task work.Task) (time.Duration, bool) {
+		return time.Duration(ms) * time.Millisecond, task.Job == id && (index < 0 || task.Index == index)
+	}, d.HasArg("newids"))
+}
+
 func (r *rig) submitCommand(t *testing.T, d *datadriven.TestData, id string) string {
 	s := work.Step{Count: 1, Need: work.Shape{CPU: 1000, Memory: 1000, Accelerators: 1}, Estimate: 2000}
 	d.MaybeScanArgs(t, "tasks", &s.Count)
@@ -246,6 +260,8 @@
 		r.fleet.Kill(id)
 	case "restart":
 		r.fleet.Restart(id)
+	case "crash":
+		r.fleet.Crash(id)
 	case "unlist":
 		r.fleet.Unlist(id)
 	case "drain":
--- a/internal/run/engine/sequence_test.go
+++ b/internal/run/engine/sequence_test.go
@@ -102,6 +102,7 @@
 			open = append(open, id+" is "+s)
 		}
 	}
+	r.checkGivenUp()
 
 	return nil, open
 }
--- a/internal/standin/fleet/hosts.go
+++ b/internal/standin/fleet/hosts.go
@@ -62,11 +62,14 @@
 	var all []cloud.Host
 	for _, id := range sortedIDs(f.workers) {
 		w := f.workers[id]
+		if w.replacedBy != "" {
+			continue
+		}
 		state := cloud.Up
 		if w.maintained {
 			state = cloud.Maintained
 		}
-		all = append(all, cloud.Host{Name: hostPrefix + id, State: state, Worker: id})
+		all = append(all, cloud.Host{Name: hostPrefix + w.Host, State: state, Worker: id})
 	}
 
 	return all, nil
@@ -105,7 +108,7 @@
 	if f.hosts.takenDown[wave][o.Host] {
 		return nil
 	}
-	w := f.workers[o.Host[len(hostPrefix):]]
+	w := f.current(o.Host[len(hostPrefix):])
 	if !w.up {
 		return cloud.ErrBusy
 	}
@@ -123,7 +126,7 @@
 	if f.hosts.takenDown[wave] == nil {
 		f.hosts.takenDown[wave] = map[string]bool{}
 	}
-	f.hosts.takenDown[wave][hostPrefix+w.ID] = true
+	f.hosts.takenDown[wave][hostPrefix+w.Host] = true
 	f.hosts.downCount[wave]++
 	for _, v := range f.hosts.waves {
 		if v.Number == wave && f.hosts.downCount[wave] > v.MaxDown {
@@ -132,10 +135,7 @@
 	}
 	f.checkDisruptionBudget(w)
 	w.up, w.maintained = false, true
-	for _, r := range w.runs {
-		r.record.close("gone")
-	}
-	w.runs = nil
+	w.closeRuns("gone")
 	go func() {
 		time.Sleep(maintenanceDuration)
 		f.mu.Lock()
--- a/internal/standin/fleet/journal.go
+++ b/internal/standin/fleet/journal.go
@@ -23,14 +23,15 @@
 
 	// RunRecord records one run on a worker.
 	RunRecord struct {
-		Task         work.Task
-		Run          int64
-		Worker       string
-		From         time.Time
-		To           time.Time // zero while the run is active
-		How          target.How
-		Acked        bool
-		LeaseExpired bool // the worker's lease expired between the end and its acknowledgement
+		Task          work.Task
+		Run           int64
+		Worker        string
+		From          time.Time
+		To            time.Time // zero while the run is active
+		How           target.How
+		Acked         bool
+		CrashedWorker bool // the run has crashed its worker
+		LeaseExpired  bool // the worker's lease expired between the end and its acknowledgement
 	}
 )
 
@@ -97,6 +98,7 @@
 	if fails >= Attempts {
 		j.recordViolation("task %v starts on %s after %d failures", s.Task, w.ID, fails)
 	}
+	j.checkCrashes(w, s)
 	if known {
 		j.checkCapacity(w, s, job)
 		j.checkEligible(s, job)
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -43,10 +43,12 @@
 		mu          sync.Mutex
 		hosts       hosts
 		workers     map[string]*Worker
-		changes     []string                // log of the workers whose entries changed, in order
-		lateShare   float64                 // share of the orders that get no reply and are executed later
-		lostShare   float64                 // share of the orders that are executed but get no reply
-		phantomRuns map[string][]target.Run // runs that a worker reports but does not have, by worker
+		changes     []string                                   // log of the workers whose entries changed, in order
+		lateShare   float64                                    // share of the orders that get no reply and are executed later
+		lostShare   float64                                    // share of the orders that are executed but get no reply
+		deadly      func(task work.Task) (time.Duration, bool) // see SetDeadly; nil for no such tasks
+		newIDs      bool                                       // see SetDeadly
+		phantomRuns map[string][]target.Run                    // runs that a worker reports but does not have, by worker
 	}
 
 	// Worker emulates one worker.
@@ -55,6 +57,7 @@
 
 		up, cutOff, listed bool
 		maintained         bool            // down for maintenance
+		replacedBy         string          // ID of the worker that runs at its address now; empty for itself
 		cutOffCallers      map[string]bool // callers that cannot reach the worker
 		bornAt             time.Time
 		clockRate          float64 // of the worker's clock, relative to real time
@@ -119,39 +122,43 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	w := f.workers[id]
+	w := f.current(id)
 	w.up = false
-	for _, r := range w.runs {
-		r.record.close("gone")
-	}
-	w.runs = map[work.Task]*activeRun{}
+	w.closeRuns("gone")
 }
 
-// Restart kills a worker and starts a new incarnation with the same ID.
+// Restart restarts a worker at once under the same ID. Unless it was draining, that is a
+// crash.
 func (f *Fleet) Restart(id string) {
-	f.Kill(id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := f.workers[id]
+	f.advance()
+	w := f.current(id)
+	how := Crashed
+	if w.Draining {
+		how = "gone"
+	}
+	w.closeRuns(how)
 	w.startIncarnation()
 	w.up, w.listed, w.Draining = true, true, false
-	f.changes = append(f.changes, id)
+	f.changes = append(f.changes, w.ID)
 }
 
 // Unlist removes a worker from the list, but does not stop it.
 func (f *Fleet) Unlist(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].listed = false
-	f.changes = append(f.changes, id)
+	f.current(id).listed = false
+	f.changes = append(f.changes, f.current(id).ID)
 }
 
 // Drain lists a worker as draining. left is the least time until it leaves.
 func (f *Fleet) Drain(id string, left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].Draining, f.workers[id].TimeToLeave = true, left
-	f.changes = append(f.changes, id)
+	w := f.current(id)
+	w.Draining, w.TimeToLeave = true, left
+	f.changes = append(f.changes, w.ID)
 }
 
 // SetSpeed sets how fast a worker's runs make progress: 1 is full speed, and with 0 they
@@ -160,14 +167,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	f.workers[id].speed = speed
+	f.current(id).speed = speed
 }
 
 // Cut cuts a worker off from all callers, or reconnects it.
 func (f *Fleet) Cut(id string, cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id].cutOff = cut
+	f.current(id).cutOff = cut
 }
 
 // SetOutcome replaces Outcome for runs that start from now on.
@@ -261,13 +268,17 @@
 	}
 	f.mu.Lock()
 	w := f.workers[a.ID]
-	unreachable := w == nil || !w.up || w.cutOff || w.cutOffCallers[caller]
+	unreachable := w == nil || !f.current(a.ID).up || w.cutOff || w.cutOffCallers[caller]
+	replaced := w != nil && w.replacedBy != ""
 	f.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
 
 		return nil, errors.Wrap(target.ErrRefused, "worker cannot be reached")
 	}
+	if replaced {
+		return nil, target.ErrOtherIncarnation
+	}
 
 	return w, nil
 }
@@ -453,6 +464,10 @@
 			w.leaseExpiredAt = time.Now()
 		}
 		for _, r := range w.runs {
+			f.crashIfDeadly(w, r)
+			if !w.up {
+				break
+			}
 			f.advanceRun(w, r)
 		}
 	}
