Count the crashes of workers under a task, and start suspects apart

Users lost work beside a task that crashes its workers, up to five times for one innocent task: all runs of a crashed worker became free at the same moment, were placed in the same pass, and so beside the task to blame again. Nothing counted the crashes.

A crash is an unannounced restart, under the same ID or of another worker at the same address; a successor sees it in the worker's newer incarnation. It counts for each run that the worker had, once, when it is known that the run has ended. An expired lease, a drained or removed worker and the maintenance of its host don't count.

A run that lasts two seconds is not to blame for earlier crashes. Suspects are placed after the other tasks of their step, on idle workers for a second if there are any, never in one pass beside another job, and away from other suspects for ten seconds; others stay off their workers for the first second. So the next crash tells who is to blame.

The age of a run at the crash counts to the moment when the connection broke; a worker that just fell silent may have crashed at any time after its last answer.

--- /dev/null
+++ b/internal/core/work/crashes.go
@@ -0,0 +1,66 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type (
+	// TaskCrashes counts the crashes of workers under one task.
+	TaskCrashes struct {
+		// Runs are the numbers of the runs under which a worker has crashed. They keep a
+		// crash from being counted twice.
+		Runs []int64 `cbor:"1,keyasint"`
+		// Blamed is the number of crashes, one after the other, that the task may have
+		// caused.
+		Blamed int `cbor:"2,keyasint"`
+	}
+
+	// Crashes is the durable count of crashes under the tasks of one job. It has a record of
+	// its own: all versions read the fields of a TaskState by their number, and reject a
+	// record with one more.
+	Crashes map[Task]TaskCrashes
+
+	// crashesRow is one entry of a record of Crashes.
+	crashesRow struct {
+		Occur int         `cbor:"1,keyasint"`
+		Step  int         `cbor:"2,keyasint"`
+		Index int         `cbor:"3,keyasint"`
+		Count TaskCrashes `cbor:"4,keyasint"`
+	}
+)
+
+// Encode encodes the counts as a record. Equal counts give equal records.
+func (c Crashes) Encode() ([]byte, error) {
+	rows := make([]crashesRow, 0, len(c))
+	for t, n := range c {
+		rows = append(rows, crashesRow{Occur: t.Occur, Step: t.Step, Index: t.Index, Count: n})
+	}
+	slices.SortFunc(rows, func(a, b crashesRow) int {
+		return cmp.Or(cmp.Compare(a.Occur, b.Occur), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	b, err := cbor.Marshal(rows)
+
+	return b, errors.Wrap(err, "encode crashes")
+}
+
+// DecodeCrashes decodes the record of a job's crashes.
+func DecodeCrashes(b []byte, job string) (Crashes, error) {
+	var rows []crashesRow
+	if err := cbor.Unmarshal(b, &rows); err != nil {
+		return nil, errors.Wrap(err, "decode crashes")
+	}
+	c := Crashes{}
+	for _, r := range rows {
+		t := Task{Job: job, Occur: r.Occur, Step: r.Step, Index: r.Index}
+		if !t.Possible() {
+			return nil, errors.Errorf("crashes of impossible task %v", t)
+		}
+		c[t] = r.Count
+	}
+
+	return c, nil
+}
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -14,6 +14,7 @@
 	cancelPrefix   = "c/"
 	progressPrefix = "p/"
 	wavePrefix     = "w/"
+	crashPrefix    = "x/"
 )
 
 // Kinds of record.
@@ -22,12 +23,13 @@
 	CancelRecord                   // the job has been cancelled by its caller
 	ProgressRecord                 // progress of the job; written only by the planner
 	WaveRecord                     // progress of a maintenance wave; written only by the planner
+	CrashRecord                    // crashes of workers under the job's tasks; written only by the planner
 )
 
 // Kind is the kind of a record.
 type Kind int
 
-var keyPrefixes = map[Kind]string{OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix}
+var keyPrefixes = map[Kind]string{OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, CrashRecord: crashPrefix}
 
 // Key returns the key of a job's record.
 func Key(k Kind, id string) string { return keyPrefixes[k] + id }
--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -5,6 +5,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sesameyoke/internal/core/crash"
+	"sesameyoke/internal/core/work"
 )
 
 // Why the runs of a worker were lost.
@@ -68,35 +71,137 @@
 	}
 	e.Count("runs_lost_"+string(cause), int64(len(w.runs)))
 	e.Log.Warn().Str("event", "runs-lost").Str("worker", w.ID).Str("cause", string(cause)).Int64("before", w.Incarnation).
-		Int64("born", incarnation).Dur("silent", silent).Str("runs", e.describeRuns(w)).Msg("")
+		Int64("born", incarnation).Dur("silent", silent).Str("runs", w.describeRuns()).Msg("")
 }
 
-// describeRuns lists the runs of a worker: task, run number, and age when the worker was
-// lost; "?" for a run whose start this planner has not sent.
-func (e *Engine) describeRuns(w *worker) string {
+// describeRuns lists the runs of a worker.
+func (w *worker) describeRuns() string {
 	members := w.members()
 	all := make([]string, 0, len(members))
 	for _, m := range members {
-		age := "?"
-		if a, ok := m.ageAtLoss(e.SinceBoot()); ok {
-			age = a.Round(time.Millisecond).String()
-		}
-		all = append(all, fmt.Sprintf("%s.%d#%d@%s", stepName(m.unit.job, m.unit.occur, m.unit.step), m.index, m.unit.run, age))
+		all = append(all, m.describe())
 	}
 	slices.Sort(all)
 
 	return strings.Join(all, " ")
 }
 
-// ageAtLoss returns how long before the loss of its worker a run was ordered to start. It
-// returns false if this planner has not sent the start.
-func (m *member) ageAtLoss(now time.Duration) (time.Duration, bool) {
+// describe returns the run's task, its number, its least age when the worker was lost ("?" if it
+// is not known), and the crashes counted so far under the task.
+func (m *member) describe() string {
+	age := "?"
+	if a, ok := m.ageAtLoss(); ok {
+		age = a.Round(time.Millisecond).String()
+	}
+	u := m.unit
+
+	return fmt.Sprintf("%s.%d#%d@%s=%d", stepName(u.job, u.occur, u.step), m.index, u.run, age, len(u.job.crashes[m.task()].Runs))
+}
+
+// ageAtLoss returns how long at least a run had been going on when its worker was lost. It
+// returns false if that is not known because a previous planner has sent the start.
+func (m *member) ageAtLoss() (time.Duration, bool) {
+	at := m.worker.downSince()
 	if m.sentAt == 0 {
-		return 0, false
+		return at - m.began, m.began != 0 && at-m.began > crash.Fresh
 	}
-	if m.worker.silentSince != 0 {
-		now = m.worker.lostAt
+
+	return max(0, at-m.sentAt), true
+}
+
+// downSince returns the earliest time at which a worker that has restarted may have crashed.
+func (w *worker) downSince() time.Duration {
+	if w.silentSince != 0 {
+		return w.lostAt
 	}
 
-	return max(0, now-m.sentAt), true
+	return w.clockAt
+}
+
+// handleLoss logs the runs that a restarted worker has lost. After a crash, it notes under
+// which runs it happened. They count only once it is known that they have ended: the new
+// incarnation may have received the start of one.
+func (e *Engine) handleLoss(w *worker, cause lossCause, incarnation int64) {
+	e.logLostRuns(w, cause, incarnation)
+	if cause != lostByCrash {
+		return
+	}
+	for _, m := range w.members() {
+		if m.phase != planned && m.phase != starting {
+			m.crash = m.crashedRun()
+		}
+	}
+}
+
+// crashedRun describes the run of a member at the crash of its worker.
+func (m *member) crashedRun() *crash.Run {
+	r := &crash.Run{Number: m.unit.run, Age: -1, LongRunning: m.unit.job.Steps[m.unit.step].LongRunning}
+	if age, ok := m.ageAtLoss(); ok {
+		r.Age = age
+	}
+	r.Outlasted = m.began != 0 && m.worker.downSince()-m.began >= crash.Probation
+
+	return r
+}
+
+// markCrashBefore notes a crash under a run that a previous planner has started: its worker
+// has a newer incarnation than on record.
+func (e *Engine) markCrashBefore(m *member, t *work.TaskState) {
+	w := m.worker
+	if t.Incarnation == 0 || w.Incarnation <= t.Incarnation {
+		return
+	}
+	cause := e.restartCause(w, false)
+	e.Log.Warn().Str("event", "runs-lost").Str("worker", w.ID).Str("cause", string(cause)).Int64("before", t.Incarnation).
+		Int64("born", w.Incarnation).Str("runs", m.describe()).Msg("")
+	if cause == lostByCrash {
+		m.crash = m.crashedRun()
+	}
+}
+
+// countCrash counts a crash of the worker under a member's run. The count becomes durable together with the end of the run.
+func (e *Engine) countCrash(m *member) {
+	u, j := m.unit, m.unit.job
+	if m.crash == nil || u.orphan || j.Phase.Final() || m.state().Phase == work.Done {
+		return
+	}
+	count, counted := crash.Count(j.crashes[m.task()], *m.crash)
+	if !counted {
+		return
+	}
+	if j.crashes == nil {
+		j.crashes = work.Crashes{}
+	}
+	j.crashes[m.task()], j.crashedAt = count, e.SinceBoot()
+	e.Log.Warn().Str("event", "crash-counted").Str("id", j.ID).Str("unit", u.name).Int("task", m.index).Int64("run", u.run).
+		Str("worker", m.worker.ID).Bool("suspect", m.crash.Suspect()).Int("crashes", len(count.Runs)).Int("blamed", count.Blamed).Msg("")
+	e.writer.put(j, nil)
+}
+
+// restoreCrashes applies the crash records of all jobs. It deletes those of jobs that are no
+// longer on record: a planner of an earlier version does not delete them.
+func (e *Engine) restoreCrashes(records map[string][]byte) {
+	for id, b := range records {
+		j := e.jobs[id]
+		_, unmatched := e.unmatchedProgress[id]
+		switch {
+		case j != nil:
+			e.contain("crash record", id, func() { e.applyCrashes(j, b) })
+		case unmatched:
+			e.unmatchedCrashes[id] = b
+		default:
+			e.writer.putRecord(work.Key(work.CrashRecord, id), nil, func(error) {})
+		}
+	}
+}
+
+// applyCrashes applies the crash record that a previous planner wrote for a job.
+func (e *Engine) applyCrashes(j *job, b []byte) {
+	c, err := work.DecodeCrashes(b, j.ID)
+	if err != nil {
+		e.Log.Error().Str("event", "record-unreadable").Str("id", j.ID).Err(err).Msg("")
+
+		return
+	}
+	j.crashes, j.crashedAt = c, e.SinceBoot()
 }
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -106,6 +106,7 @@
 		queues            map[string]policy.Queue      // last known configuration of the queues, by name
 		earlyCancels      map[string]earlyCancel       // cancellations of jobs that have not arrived yet, by job
 		unmatchedProgress map[string][]byte            // progress records of jobs whose own record has not been read yet, by job
+		unmatchedCrashes  map[string][]byte            // crash records of these jobs
 		unansweredStarts  map[string][]unansweredStart // starts that may still be executed, by worker
 		runTimes          map[string]*runTime          // measured run times, by queue
 		peerRunTimes      map[stepKey][]time.Duration  // projected run times of the current runs, by step
@@ -157,6 +158,8 @@
 		acceptedAt   time.Duration
 		dirty        bool                     // waits for the next append
 		failedOn     map[string]int           // number of failed runs, by worker
+		crashes      work.Crashes             // crashes of workers under its tasks
+		crashedAt    time.Duration            // when the newest of them was counted
 		doneRunTimes map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
 	}
 )
@@ -165,7 +168,7 @@
 func New(c Config) *Engine {
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
-		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{},
+		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{},
 		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -55,7 +55,7 @@
 	for w, name := range r.Claims {
 		e.claims[f.names[w]] = claim{unit: name, until: e.SinceBoot() + e.Timing.ClaimTTL}
 	}
-	e.commitPlacements(cands, r.Placements, f)
+	e.commitPlacements(cands, separate(cands, r.Placements), f)
 	e.lastPass = e.Now().Sub(began)
 	e.Observe("pass_seconds", e.lastPass)
 }
@@ -109,6 +109,7 @@
 			tasks = append(tasks, i)
 		}
 	}
+	tasks = j.trustedFirst(occur, step, tasks)
 	if len(tasks) == 0 || (st.Gang && len(tasks) < st.Count) {
 		return cands
 	}
@@ -196,6 +197,7 @@
 		}
 	}
 	e.relaxConstraints(c, f)
+	e.keepApart(c, f)
 }
 
 // onLastAttempt reports whether one more failure of the unit fails its job.
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -108,7 +108,7 @@
 // rebuildJobs rebuilds the jobs from their records.
 func (e *Engine) rebuildJobs(jobs, handins []store.Record) {
 	e.jobs, e.active, e.units = map[string]*job{}, nil, map[string]*unit{}
-	progress := map[string][]byte{}
+	progress, crashes := map[string][]byte{}, map[string][]byte{}
 	for _, r := range jobs {
 		switch kind, id := work.ParseKey(r.Key); kind {
 		case work.OpenRecord:
@@ -119,6 +119,8 @@
 			if n, err := strconv.Atoi(id); err == nil {
 				e.restoreWave(n, r.Value)
 			}
+		case work.CrashRecord:
+			crashes[id] = r.Value
 		default:
 			e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 		}
@@ -138,6 +140,7 @@
 		}
 		e.contain("progress record", id, func() { e.applyProgress(j, b) })
 	}
+	e.restoreCrashes(crashes)
 	for _, j := range e.jobs {
 		if !j.durablePhase.Final() {
 			e.active = append(e.active, j)
@@ -224,6 +227,9 @@
 	}
 	delete(e.unmatchedProgress, j.ID)
 	e.applyProgress(j, b)
+	if b, ok := e.unmatchedCrashes[j.ID]; ok {
+		e.applyCrashes(j, b)
+	}
 	e.adoptJob(j)
 }
 
@@ -241,6 +247,7 @@
 		}
 	}
 	clear(e.unmatchedProgress)
+	clear(e.unmatchedCrashes)
 }
 
 // adoptTask adds the run of a task if one is assigned. Whether it still goes on is not
@@ -269,6 +276,7 @@
 		e.release(o) // the run was reported before its job was read
 	}
 	e.reserve(m)
+	e.markCrashBefore(m, t)
 }
 
 // predecessorExpiry returns the time by which the worker leases granted under earlier
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -130,12 +130,12 @@
 
 		return
 	}
-	e.handleNoReport(w, sent, err)
+	e.handleNoReport(w, sent, ctx.Err() != nil, err)
 }
 
-// handleNoReport handles a lease renewal that returned no report. The caller holds mu, which
+// handleNoReport handles a lease renewal that returned no report, in time or at all. The caller holds mu, which
 // is released during the pause before the next request.
-func (e *Engine) handleNoReport(w *worker, sent time.Duration, err error) {
+func (e *Engine) handleNoReport(w *worker, sent time.Duration, timedOut bool, err error) {
 	switch {
 	case errors.Is(err, target.ErrFenced):
 		e.loseLease(w.ID)
@@ -143,7 +143,7 @@
 		return
 	case errors.Is(err, target.ErrOtherIncarnation):
 		e.Log.Warn().Str("event", "worker-replaced").Str("worker", w.ID).Str("address", w.Host).Msg("")
-		e.logLostRuns(w, e.restartCause(w, w.Draining), 0)
+		e.handleLoss(w, e.restartCause(w, w.Draining), 0)
 		e.endAll(w, target.LeaseExpired)
 		w.Host = ""
 
@@ -156,6 +156,9 @@
 	}
 	if w.silentSince == 0 {
 		w.silentSince, w.lostAt = sent, e.SinceBoot()
+		if timedOut {
+			w.lostAt = w.clockAt
+		}
 		e.Log.Warn().Str("event", "worker-lost").Str("worker", w.ID).Err(err).Int("runs", len(w.runs)).Msg("")
 	}
 	e.expireLease(w)
@@ -195,6 +198,9 @@
 	if r.Incarnation != 0 && r.Incarnation < w.Incarnation {
 		return // from an earlier incarnation
 	}
+	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
+		e.handleRestart(w, r.Incarnation, w.Draining) // before the state of the loss is reset
+	}
 	if w.silentSince != 0 {
 		e.Log.Info().Str("event", "worker-regained").Str("worker", w.ID).Dur("after", e.SinceBoot()-w.silentSince).Msg("")
 		w.silentSince = 0
@@ -204,9 +210,6 @@
 		w.reported = true
 		e.requestPass()
 	}
-	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
-		e.handleRestart(w, r.Incarnation, w.Draining)
-	}
 	w.ackedEnd = max(w.ackedEnd, renewal.Acked)
 	inReport := map[*member]bool{}
 	e.recordEnds(w, r.Ended, inReport)
@@ -233,7 +236,7 @@
 // The argument draining tells whether the previous incarnation had announced that it leaves.
 func (e *Engine) handleRestart(w *worker, incarnation int64, draining bool) {
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", w.Incarnation).Int("runs", len(w.runs)).Msg("")
-	e.logLostRuns(w, e.restartCause(w, draining), incarnation)
+	e.handleLoss(w, e.restartCause(w, draining), incarnation)
 	w.resetIncarnation(incarnation, e.SinceBoot()+e.maxLease())
 	for _, m := range w.members() {
 		// An unanswered start may still reach the new incarnation. Only a stop that this
@@ -289,6 +292,7 @@
 		return
 	}
 	inReport[m] = true
+	m.crash = nil // the new incarnation has received the start
 	if r.Saved != "" && r.Saved != m.checkpoint {
 		m.checkpoint, m.checkpointAt = r.Saved, e.SinceBoot()
 	}
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sesameyoke/internal/core/crash"
 	"sesameyoke/internal/core/straggler"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
@@ -55,6 +56,7 @@
 		sentAt         time.Duration // when its start was sent; 0 if this planner has not sent it
 		began          time.Duration // when its start was answered or it was first reported as running; 0 before
 		checkpointAt   time.Duration // when its newest checkpoint was first reported
+		crash          *crash.Run    // crash of the worker that may have ended the run; nil if none is known
 		track          straggler.Track
 		tracking       bool          // track holds a first reading
 		usage          int           // tail latency in milliseconds of a serving task, else thousandths of a core in use
@@ -281,7 +283,9 @@
 	case target.Failed:
 		e.recordFailure(u)
 		u.job.recordFailedOn(m.worker.ID)
-	case target.Stopped, target.LeaseExpired, target.GangBroken, target.GangIncomplete:
+	case target.LeaseExpired:
+		e.countCrash(m)
+	case target.Stopped, target.GangBroken, target.GangIncomplete:
 	default:
 		e.Log.Warn().Str("event", "end-unknown").Str("unit", u.name).Str("how", string(how)).Msg("")
 	}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -35,7 +35,7 @@
 	durableEnd        int64                   // all run ends up to this number are durable
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
-	lostAt            time.Duration           // when the first report was found missing
+	lostAt            time.Duration           // when it broke its connection, else when it last answered before it was silent
 	maintainedUntil   time.Duration           // a restart until then is due to maintenance of its host
 	probedAt          time.Duration           // when a report was last requested from it while it was silent and without runs
 	refusingUntil     time.Duration           // receives no starts until then, because it refused one
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -141,6 +141,9 @@
 	}
 	for _, j := range w.dropped {
 		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, j.ID)}, store.Record{Key: work.Key(work.ProgressRecord, j.ID)})
+		if len(j.crashes) > 0 {
+			g.records = append(g.records, store.Record{Key: work.Key(work.CrashRecord, j.ID)})
+		}
 	}
 	g.records = append(g.records, w.otherRecords...)
 	w.dropped, w.otherRecords = nil, nil
@@ -170,6 +173,14 @@
 		g.records = append(g.records, store.Record{Key: work.Key(work.ProgressRecord, j.ID), Value: b})
 		size += len(b)
 	}
+	if len(j.crashes) > 0 {
+		b, err := j.crashes.Encode()
+		if err != nil {
+			return 0, errors.Wrapf(err, "crashes of job %q", j.ID)
+		}
+		g.records = append(g.records, store.Record{Key: work.Key(work.CrashRecord, j.ID), Value: b})
+		size += len(b)
+	}
 	g.phases[j] = j.Phase
 
 	return size, nil
