Give up a task that crashes its workers after three crashes

The loss of a run with its worker counted as no attempt, so nothing ended it.

The job fails once a task has crashed three workers in a row, each time soon after the start, or once four workers have crashed under it at all. A long-running task is given up only for the former: workers may crash now and then under it.

The five scripts failed before, with up to 15 crashes, and pass: three starts of the task each, also with the planner killed after each crash; the three innocent jobs beside it complete.

--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -159,7 +159,8 @@
 	}
 }
 
-// countCrash counts a crash of the worker under a member's run. The count becomes durable together with the end of the run.
+// countCrash counts a crash of the worker under a member's run, and fails the job if the
+// member's task is to blame. The count becomes durable together with the end of the run.
 func (e *Engine) countCrash(m *member) {
 	u, j := m.unit, m.unit.job
 	if m.crash == nil || u.orphan || j.Phase.Final() || m.state().Phase == work.Done {
@@ -176,6 +177,13 @@
 	e.Log.Warn().Str("event", "crash-counted").Str("id", j.ID).Str("unit", u.name).Int("task", m.index).Int64("run", u.run).
 		Str("worker", m.worker.ID).Bool("suspect", m.crash.Suspect()).Int("crashes", len(count.Runs)).Int("blamed", count.Blamed).Msg("")
 	e.writer.put(j, nil)
+	if !crash.GiveUp(count) {
+		return
+	}
+	e.Log.Info().Str("event", "job-failed").Str("id", j.ID).Str("unit", u.name).Int("task", m.index).Int("crashes", len(count.Runs)).
+		Int("blamed", count.Blamed).Dur("age", e.SinceBoot()-j.acceptedAt).Msg("")
+	m.state().Phase = work.GivenUp
+	e.endJob(j, work.Failed)
 }
 
 // restoreCrashes applies the crash records of all jobs. It deletes those of jobs that are no
