Tell a crash by the address where its worker has returned

Two losses were not recognized as crashes: the worker had come back, but was cut off from the planner until the lease of its previous incarnation expired; and a planner that took over after the previous ID was unlisted didn't know where that worker had been.

An expired lease is a crash if another worker is listed at the address meanwhile. A worker without a successor at its address is still no crash.

The emulated fleet let a worker that had just crashed execute one more order.

Faults last 25 s there and not 40, because each such task takes three workers away for a while, and the jobs have to end in the same 90 s.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -41,7 +41,7 @@
 	if slices.Contains(c.Runs, r.Number) {
 		return c, false
 	}
-	next := work.TaskCrashes{Runs: append(slices.Clone(c.Runs), r.Number), Blamed: c.Blamed}
+	next := work.TaskCrashes{Runs: append(slices.Clone(c.Runs), r.Number), Blamed: c.Blamed, Host: c.Host}
 	switch {
 	case r.Suspect():
 		next.Blamed++
--- a/internal/core/work/crashes.go
+++ b/internal/core/work/crashes.go
@@ -17,6 +17,8 @@
 		// Blamed is the number of crashes, one after the other, that the task may have
 		// caused.
 		Blamed int `cbor:"2,keyasint"`
+		// Host is the address of the worker of the newest run; empty if it is not known.
+		Host string `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Crashes is the durable count of crashes under the tasks of one job. It has a record of
--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// handleExpiry logs the runs that a worker has lost because its lease expired. It is a crash
+// if another worker is listed at its address meanwhile, even if that one cannot be reached.
+func (e *Engine) handleExpiry(w *worker) {
+	if next := e.successor(w.Host, w.ID, w.Incarnation); next != nil {
+		e.handleLoss(w, e.restartCause(w, w.Draining), next.Incarnation)
+
+		return
+	}
+	e.logLostRuns(w, lostByLease, 0)
+}
+
+// successor returns the listed worker that has replaced another one at its address, or nil.
+func (e *Engine) successor(host, id string, incarnation int64) *worker {
+	if host == "" || incarnation == 0 {
+		return nil
+	}
+	for _, o := range e.workers {
+		if o.listed && o.Host == host && o.ID != id && o.Incarnation > incarnation {
+			return o
+		}
+	}
+
+	return nil
+}
+
 // crashedRun describes the run of a member at the crash of its worker.
 func (m *member) crashedRun() *crash.Run {
 	r := &crash.Run{Number: m.unit.run, Age: -1, LongRunning: m.unit.job.Steps[m.unit.step].LongRunning}
@@ -145,34 +170,57 @@
 }
 
 // markCrashBefore notes a crash under a run that a previous planner has started: its worker
-// has a newer incarnation than on record.
+// has a newer incarnation than on record, or another worker is listed at its address.
 func (e *Engine) markCrashBefore(m *member, t *work.TaskState) {
-	w := m.worker
-	if t.Incarnation == 0 || w.Incarnation <= t.Incarnation {
+	if t.Incarnation == 0 {
+		return
+	}
+	w, before := m.worker, t.Incarnation
+	born := w.Incarnation
+	if next := e.successor(m.unit.job.crashes[m.task()].Host, t.Worker, before); next != nil {
+		born = next.Incarnation
+	}
+	if born <= before {
 		return
 	}
 	cause := e.restartCause(w, false)
-	e.Log.Warn().Str("event", "runs-lost").Str("worker", w.ID).Str("cause", string(cause)).Int64("before", t.Incarnation).
-		Int64("born", w.Incarnation).Str("runs", m.describe()).Msg("")
+	e.Log.Warn().Str("event", "runs-lost").Str("worker", w.ID).Str("cause", string(cause)).Int64("before", before).
+		Int64("born", born).Str("runs", m.describe()).Msg("")
 	if cause == lostByCrash {
 		m.crash = m.crashedRun()
 	}
 }
 
+// recordAddress records the address of the worker to which a task is assigned, if workers have
+// crashed under the task: a later planner may no longer find the worker in the list.
+func (j *job) recordAddress(t work.Task, w *worker) {
+	if c, ok := j.crashes[t]; ok {
+		c.Host = w.Host
+		j.crashes[t] = c
+	}
+}
+
 // countCrash counts a crash of the worker under a member's run, and fails the job if the
 // member's task is to blame. The count becomes durable together with the end of the run.
 func (e *Engine) countCrash(m *member) {
 	u, j := m.unit, m.unit.job
-	if m.crash == nil || u.orphan || j.Phase.Final() || m.state().Phase == work.Done {
+	if u.orphan || j.Phase.Final() || m.state().Phase == work.Done {
+		return
+	}
+	if j.crashes == nil {
+		j.crashes = work.Crashes{}
+	}
+	if m.crash == nil {
+		if m.inherited && !m.worker.listed { // it may have crashed; the next start is recorded with its address
+			j.crashes[m.task()] = j.crashes[m.task()]
+		}
+
 		return
 	}
 	count, counted := crash.Count(j.crashes[m.task()], *m.crash)
 	if !counted {
 		return
 	}
-	if j.crashes == nil {
-		j.crashes = work.Crashes{}
-	}
 	j.crashes[m.task()], j.crashedAt = count, e.SinceBoot()
 	e.Log.Warn().Str("event", "crash-counted").Str("id", j.ID).Str("unit", u.name).Int("task", m.index).Int64("run", u.run).
 		Str("worker", m.worker.ID).Bool("suspect", m.crash.Suspect()).Int("crashes", len(count.Runs)).Int("blamed", count.Blamed).Msg("")
--- a/internal/run/engine/mutation_test.go
+++ b/internal/run/engine/mutation_test.go
@@ -37,7 +37,7 @@
 		t.Run(m.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= mutationSeeds; seed++ {
 				var violations []string
-				synctest.Test(t, func(t *testing.T) { violations, _ = runSequence(t, seed, m) })
+				synctest.Test(t, func(t *testing.T) { violations, _ = runSequence(t, seed, m, func(*rig) {}) })
 				if len(violations) > 0 {
 					t.Logf("seed %d: %s", seed, violations[0])
 
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -39,6 +39,7 @@
 	// a synctest bubble.
 	rig struct {
 		t            *testing.T
+		seed         uint64
 		rand         *rand.Rand
 		lock         sync.Mutex
 		store        *fleet.Store
@@ -53,6 +54,7 @@
 		accepted    map[string]bool
 		stopWorkers context.CancelFunc // stops the emulated workers
 		mutation    mutation
+		faultPeriod time.Duration // time in which a sequence injects faults
 	}
 
 	// vm runs an elector, and an engine while it holds the planner lease.
@@ -69,7 +71,7 @@
 )
 
 func newRig(t *testing.T, seed uint64) *rig {
-	r := &rig{t: t, rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, epoch: time.Now(), accepted: map[string]bool{}, cores: map[string]float64{}}
+	r := &rig{t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), vms: map[string]*vm{}, epoch: time.Now(), accepted: map[string]bool{}, cores: map[string]float64{}, faultPeriod: faultPeriod}
 	r.store = fleet.NewStore(r.randFloat)
 	r.fleet = fleet.NewFleet(r.randFloat)
 	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 2 * time.Second, target.Done }
--- a/internal/run/engine/sequence_test.go
+++ b/internal/run/engine/sequence_test.go
@@ -19,7 +19,10 @@
 
 const (
 	sequenceSeeds  = 40               // SESAMEYOKE_SEEDS sets another number
+	deadlySeeds    = 20               // likewise
+	deadlyShare    = 7                // one job in this many has a task that crashes its workers
 	faultPeriod    = 40 * time.Second // time in which faults are injected
+	deadlyPeriod   = 25 * time.Second // likewise with such tasks, each of which takes three workers away for a while
 	recoveryPeriod = 90 * time.Second // time without faults in which all jobs must end
 )
 
@@ -33,7 +36,27 @@
 // causes: the check of the workers' journal must find none, and all accepted jobs must end in
 // the fault-free period that follows.
 func TestSequences(t *testing.T) {
-	n := uint64(sequenceSeeds)
+	runSequences(t, slices.Concat(regressionSeeds, freshSeeds(t, sequenceSeeds)), func(*rig) {})
+}
+
+// TestDeadlySequences is TestSequences with tasks that crash their workers, which return under
+// the same ID or another one. It guards against counts that are lost in a takeover, crashes
+// that are counted twice and tasks that are started too often.
+func TestDeadlySequences(t *testing.T) {
+	runSequences(t, freshSeeds(t, deadlySeeds), func(r *rig) {
+		r.faultPeriod = deadlyPeriod
+		r.fleet.SetDeadly(func(task work.Task) (time.Duration, bool) {
+			var number int
+			_, err := fmt.Sscanf(task.Job, "j%d", &number)
+			require.NoError(r.t, err)
+
+			return time.Duration(number) * 10 * time.Millisecond, number%deadlyShare == 0 && task.Step == 0 && task.Index == 0
+		}, r.seed%2 == 0)
+	})
+}
+
+// freshSeeds returns n seeds from 1 on, unless the environment sets others.
+func freshSeeds(t *testing.T, n uint64) []uint64 {
 	if v := os.Getenv("SESAMEYOKE_SEEDS"); v != "" {
 		var err error
 		n, err = strconv.ParseUint(v, 10, 64)
@@ -45,14 +68,20 @@
 		first, err = strconv.ParseUint(v, 10, 64)
 		require.NoError(t, err)
 	}
-	seeds := slices.Clone(regressionSeeds)
+	var seeds []uint64
 	for seed := first; seed < first+n; seed++ {
 		seeds = append(seeds, seed)
 	}
+
+	return seeds
+}
+
+// runSequences runs the sequences of some seeds as subtests.
+func runSequences(t *testing.T, seeds []uint64, prepare func(r *rig)) {
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				violations, open := runSequence(t, seed, mutation{})
+				violations, open := runSequence(t, seed, mutation{}, prepare)
 				require.Empty(t, violations)
 				require.Empty(t, open)
 			})
@@ -60,11 +89,12 @@
 	}
 }
 
-// runSequence runs one random sequence. It returns the violations found in the workers'
+// runSequence runs one random sequence on a rig, after prepare. It returns the violations found in the workers'
 // journal and the accepted jobs that have not ended.
-func runSequence(t *testing.T, seed uint64, m mutation) (violations, open []string) {
+func runSequence(t *testing.T, seed uint64, m mutation, prepare func(r *rig)) (violations, open []string) {
 	r := newRig(t, seed)
 	r.mutation = m
+	prepare(r)
 	defer func() {
 		r.stop()
 		violations = r.fleet.Violations()
@@ -89,7 +119,7 @@
 		r.start(n)
 	}
 	time.Sleep(time.Second)
-	until := time.Now().Add(faultPeriod)
+	until := time.Now().Add(r.faultPeriod)
 	for i := 0; time.Now().Before(until); i++ {
 		r.injectFault(rnd, names)
 		r.submit(randomJob(rnd, i))
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -174,7 +174,7 @@
 	}
 	if len(w.runs) > 0 {
 		e.Log.Warn().Str("event", "lease-lapsed").Str("worker", w.ID).Int("runs", len(w.runs)).Msg("")
-		e.logLostRuns(w, lostByLease, 0)
+		e.handleExpiry(w)
 		e.endAll(w, target.LeaseExpired)
 	}
 	if !w.listed {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -293,6 +293,12 @@
 	late, lost := f.lateShare > 0 && f.Random() < f.lateShare, f.lostShare > 0 && f.Random() < f.lostShare
 	if !late {
 		f.advance()
+		if !w.up { // it has just crashed
+			f.mu.Unlock()
+			<-ctx.Done()
+
+			return 0, errors.Wrap(target.ErrUnknown, "no reply")
+		}
 		clock, err := do(w)
 		f.mu.Unlock()
 		if !lost {
@@ -396,15 +402,15 @@
 	until := time.Now().Add(l.Wait)
 	for first := true; ; first = false {
 		f.mu.Lock()
+		if first {
+			f.advance() // while renewLease waits, Run advances the workers
+		}
 		if !w.up || w.cutOff {
 			f.mu.Unlock()
 			<-ctx.Done()
 
 			return target.Report{}, errors.Wrap(target.ErrUnknown, "no reply")
 		}
-		if first {
-			f.advance() // while renewLease waits, Run advances the workers
-		}
 		if l.Token < w.token {
 			f.mu.Unlock()
 
