--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -21,7 +21,7 @@
 	// A task is given up after this many crashes, one after the other, that it may have caused.
 	maxBlamed = 3
 	// A task is given up after this many crashes, whether it may have caused them or not.
-	maxCrashes = 4
+	maxCrashes = 5
 )
 
 // Run is the run of a task under which a worker has crashed.
