--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -31,7 +31,8 @@
 const (
 	submitTimeout = 2 * time.Second
 	fullCores     = 1.0 // cores of a VM without an entry in rig.cores
-	callsPerCore  = 80  // concurrent calls to workers that a VM sustains, by core
+	workersTopic  = "keyed.workers"
+	callsPerCore  = 80 // concurrent calls to workers that a VM sustains, by core
 )
 
 type (
@@ -166,7 +167,7 @@
 		},
 		Policy: func() *policy.Policy { return r.policy }, SinceBoot: r.boot, Now: time.Now, Log: r.log,
 		Count: func(string, int64) {}, Observe: func(string, time.Duration) {},
-		Discover: r.fleet.Discover(), Advise: r.fleet.Advise,
+		Discover: r.discover(st), Advise: r.fleet.Advise,
 	}
 	if r.mutation.config != nil {
 		r.mutation.config(&c)
@@ -175,6 +176,19 @@
 	return c
 }
 
+// discover returns the changes of the worker list, which is in the store, to an engine.
+func (r *rig) discover(st *store.Store) func(ctx context.Context) (engine.Listing, error) {
+	list := r.fleet.Discover()
+
+	return func(ctx context.Context) (engine.Listing, error) {
+		if _, err := st.Read(ctx, workersTopic, 0, 0); err != nil {
+			return engine.Listing{}, err
+		}
+
+		return list(ctx)
+	}
+}
+
 // successor returns the name of the strongest of the other running VMs.
 func (r *rig) successor(name string) (string, bool) {
 	all := r.otherVMs(name)
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -262,6 +262,10 @@
 		r.fleet.Restart(id)
 	case "crash":
 		r.fleet.Crash(id)
+	case "shrink":
+		r.fleet.SetCapacity(id, work.Shape{CPU: 64000, Memory: 64000, Accelerators: 2})
+	case "grow":
+		r.fleet.SetCapacity(id, work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
 	case "unlist":
 		r.fleet.Unlist(id)
 	case "drain":
--- a/internal/standin/fleet/journal.go
+++ b/internal/standin/fleet/journal.go
@@ -136,6 +136,9 @@
 // configuration.
 const Attempts = 3
 
+// shrinkGrace is the time from which a start must respect a capacity that has shrunk.
+const shrinkGrace = 4500 * time.Millisecond
+
 // checkCapacity checks that a task fits on its worker, and that the worker runs no more
 // tasks of the step than its anti-affinity limit allows.
 func (j *Journal) checkCapacity(w *Worker, s target.Start, job work.Job) {
@@ -143,7 +146,8 @@
 	for _, r := range w.runs {
 		used = used.Plus(usedCapacity(j.jobs[r.task.Job].Steps[r.task.Step]))
 	}
-	if !used.Fits(w.Capacity) {
+	inGrace := time.Since(w.shrunkAt) <= shrinkGrace && used.Fits(w.larger)
+	if !used.Fits(w.Capacity) && !inGrace {
 		j.recordViolation("task %v on %s raises the resources in use to %v, more than the capacity %v", s.Task, w.ID, used, w.Capacity)
 	}
 	if limit := job.Steps[s.Task.Step].MaxPerWorker; limit > 0 {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -60,6 +60,8 @@
 		replacedBy         string          // ID of the worker that runs at its address now; empty for itself
 		cutOffCallers      map[string]bool // callers that cannot reach the worker
 		bornAt             time.Time
+		larger             work.Shape // capacity before it last shrank
+		shrunkAt           time.Time
 		clockRate          float64 // of the worker's clock, relative to real time
 		speed              float64 // of the worker's runs: 1 is full speed, 0 makes no progress
 		token              int64   // highest fencing token seen
@@ -170,6 +172,18 @@
 	f.current(id).speed = speed
 }
 
+// SetCapacity changes a worker's capacity while it runs.
+func (f *Fleet) SetCapacity(id string, capacity work.Shape) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.current(id)
+	if !w.Capacity.Fits(capacity) {
+		w.larger, w.shrunkAt = w.Capacity, time.Now()
+	}
+	w.Capacity = capacity
+	f.changes = append(f.changes, w.ID)
+}
+
 // Cut cuts a worker off from all callers, or reconnects it.
 func (f *Fleet) Cut(id string, cut bool) {
 	f.mu.Lock()
