Don't count crashes under runs of an ended occurrence

The engine panicked when a worker was lost with a run that was left over from an occurrence of a recurring job that had ended: the states of its tasks are dropped with it.

--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -204,7 +204,7 @@
 // member's task is to blame. The count becomes durable together with the end of the run.
 func (e *Engine) countCrash(m *member) {
 	u, j := m.unit, m.unit.job
-	if u.orphan || j.Phase.Final() || m.state().Phase == work.Done {
+	if u.orphan || u.done || j.Phase.Final() || j.Occurs[u.occur].Ended || m.state().Phase == work.Done {
 		return
 	}
 	if j.crashes == nil {
