Check starts against the capacity that workers have when they are sent

A start that has waited, for its assignment to be durable or for its turn, was sent however far the worker's capacity had shrunk since its placement; and after an outage of the store the capacities were those from before it, so that a worker was brought over its capacity up to 6 s after it had shrunk.

Starts are sent only by a list of workers that was requested at most 2.5 s ago, and not to a worker on which more is reserved than it has: their tasks wait for another place.

Script shrunkoutage failed before (4 and 6 accelerators in use of 2) and passes. shrunkworker shows that placement itself already follows the new capacity.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -17,6 +17,7 @@
 	for ctx.Err() == nil {
 		timer.Pause(ctx, e.Timing.DiscoverInterval)
 		call, cancel := context.WithTimeout(ctx, discoverTimeout)
+		sent := e.SinceBoot()
 		listing, err := e.Discover(call)
 		cancel()
 		if err != nil {
@@ -33,6 +34,8 @@
 		lost = false
 		e.mu.Lock()
 		e.applyListing(listing)
+		e.listedAt = sent
+		e.sendStarts()
 		e.mu.Unlock()
 	}
 }
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -117,6 +117,7 @@
 		adviceStep        string        // name of the step whose advice request is in flight; empty if none is
 		ready             bool          // the takeover is complete: calls are accepted
 		began             time.Duration // when Run was called
+		listedAt          time.Duration // when the newest successful read of the worker list was requested
 		firstListing      *Listing      // first read of the worker list
 		handinOffset      int64         // next offset to read in HandinTopic
 		handinReadAt      time.Duration // when the newest successful read of HandinTopic was requested
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -96,11 +96,12 @@
 	if e.firstListing != nil {
 		return nil
 	}
+	sent := e.SinceBoot()
 	listing, err := e.Discover(ctx)
 	if err != nil {
 		return err
 	}
-	e.firstListing = &listing
+	e.firstListing, e.listedAt = &listing, sent
 
 	return nil
 }
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -17,6 +17,8 @@
 	maxStartAttempts = 3
 	// Scheduling delay from which this VM counts as overloaded.
 	overloadThreshold = 100 * time.Millisecond
+	// No starts are sent by an older list of workers: the capacity of one may have shrunk.
+	maxListAge = 2500 * time.Millisecond
 )
 
 // startAnswer is the outcome of sending a start to a worker.
@@ -35,7 +37,7 @@
 
 // sendStarts sends queued starts up to the limit of starts in flight.
 func (e *Engine) sendStarts() {
-	if !e.Lease.Valid() {
+	if !e.Lease.Valid() || e.SinceBoot() > e.listedAt+maxListAge {
 		return // the next pass tries again
 	}
 	for m := e.starts.pop(); m != nil; m = e.starts.pop() {
@@ -43,6 +45,8 @@
 		case m.phase != planned:
 		case m.unit.aborted || !m.worker.reported:
 			e.release(m)
+		case m.worker.overcommitted(m.demand()):
+			e.abort(m.unit, "capacity has shrunk")
 		default:
 			e.dispatchStart(m)
 		}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -55,6 +55,12 @@
 	return &worker{Worker: w, free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
+// overcommitted reports whether more is reserved on the worker than it has of a resource that a
+// task needs. That happens only when its capacity shrinks.
+func (w *worker) overcommitted(need work.Shape) bool {
+	return (need.CPU > 0 && w.free.CPU < 0) || (need.Memory > 0 && w.free.Memory < 0) || (need.Accelerators > 0 && w.free.Accelerators < 0)
+}
+
 func (w *worker) address() target.Address { return target.Address{ID: w.ID, Host: w.Host} }
 
 // wakeSession makes the worker's session examine at once whether a lease renewal is due.
