--- a/internal/core/placement/overdue.go
+++ b/internal/core/placement/overdue.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	overdueAfter     = 2 * time.Second // wait of a unit without runs for its preferences if most of every resource is free
+	overdueAfter     = 2 * time.Second  // wait of a unit without runs for its preferences if most of every resource is free
 	overdueAfterBusy = 20 * time.Second // the same if most of some resource is free
-	mostlyFree       = 0.5             // share in use below which most of a resource is free
-	overdueRoom      = 2               // a unit is overdue only beside room for this multiple of it
+	mostlyFree       = 0.5              // share in use below which most of a resource is free
+	overdueRoom      = 2                // a unit is overdue only beside room for this multiple of it
 )
 
 // IsOverdue reports whether a unit may no longer wait for what it prefers, because nothing of
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -15,6 +15,7 @@
 	progressPrefix = "p/"
 	wavePrefix     = "w/"
 	silentPrefix   = "silent/"
+	crashPrefix    = "x/"
 )
 
 // Kinds of record.
@@ -24,12 +25,15 @@
 	ProgressRecord                 // progress of the job; written only by the planner
 	WaveRecord                     // progress of a maintenance wave; written only by the planner
 	SilentRecord                   // workers without a recent lease; written only by the planner
+	CrashRecord                    // crashes of workers under the job's tasks; written only by the planner
 )
 
 // Kind is the kind of a record.
 type Kind int
 
-var keyPrefixes = map[Kind]string{OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix}
+var keyPrefixes = map[Kind]string{
+	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix,
+}
 
 // Key returns the key of a job's record.
 func Key(k Kind, id string) string { return keyPrefixes[k] + id }
--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -17,6 +17,7 @@
 	for ctx.Err() == nil {
 		timer.Pause(ctx, e.Timing.DiscoverInterval)
 		call, cancel := context.WithTimeout(ctx, discoverTimeout)
+		sent := e.SinceBoot()
 		listing, err := e.Discover(call)
 		cancel()
 		if err != nil {
@@ -33,6 +34,8 @@
 		lost = false
 		e.mu.Lock()
 		e.applyListing(listing)
+		e.listedAt = sent
+		e.sendStarts()
 		e.mu.Unlock()
 	}
 }
@@ -97,7 +100,7 @@
 		e.requestPass()
 	}
 	used := w.Capacity.Minus(w.free)
-	incarnation := w.Incarnation
+	incarnation, draining := w.Incarnation, w.Draining
 	w.Worker = t
 	w.free = t.Capacity.Minus(used)
 	w.listed = true
@@ -106,7 +109,7 @@
 		w.Incarnation = t.Incarnation
 	}
 	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation {
-		e.handleRestart(w, t.Incarnation)
+		e.handleRestart(w, t.Incarnation, draining)
 		// The new incarnation has not seen this planner's token yet. A lease renewal tells
 		// it the token, so that it rejects orders that the previous planner may still send.
 		w.reported, w.expiredBy = false, w.notExpiredBefore
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -58,7 +58,7 @@
 	for w, name := range r.Claims {
 		e.claims[f.names[w]] = claim{unit: name, until: e.SinceBoot() + e.Timing.ClaimTTL}
 	}
-	e.commitPlacements(cands, r.Placements, f)
+	e.commitPlacements(cands, separate(cands, r.Placements), f)
 	e.lastPass = e.Now().Sub(began)
 	e.Observe("pass_seconds", e.lastPass)
 }
@@ -112,6 +112,7 @@
 			tasks = append(tasks, i)
 		}
 	}
+	tasks = j.trustedFirst(occur, step, tasks)
 	if len(tasks) == 0 || (st.Gang && len(tasks) < st.Count) {
 		return cands
 	}
@@ -199,6 +200,7 @@
 		}
 	}
 	e.relaxConstraints(c, f)
+	e.keepApart(c, f)
 	e.assessOverdue(c, f)
 }
 
@@ -271,6 +273,7 @@
 		t := &c.job.Occurs[c.occur].Steps[c.step][p.Task]
 		t.Phase, t.Run, t.Worker, t.Incarnation = work.Assigned, u.run, w.ID, w.Incarnation
 		e.reserve(&member{unit: u, index: p.Task, worker: w, resumedFrom: u.checkpoint, checkpoint: u.checkpoint, ticket: c.tickets[w.ID]})
+		c.job.recordAddress(work.Task{Job: c.job.ID, Occur: c.occur, Step: c.step, Index: p.Task}, w)
 		c.job.Started = true
 		if c.job.Phase == work.Queued {
 			c.job.Phase = work.Running
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -17,6 +17,8 @@
 	maxStartAttempts = 3
 	// Scheduling delay from which this VM counts as overloaded.
 	overloadThreshold = 100 * time.Millisecond
+	// No starts are sent by an older list of workers: the capacity of one may have shrunk.
+	maxListAge = 2500 * time.Millisecond
 )
 
 // startAnswer is the outcome of sending a start to a worker.
@@ -36,7 +38,7 @@
 
 // sendStarts sends queued starts up to the limit of starts in flight.
 func (e *Engine) sendStarts() {
-	if !e.Lease.Valid() {
+	if !e.Lease.Valid() || e.SinceBoot() > e.listedAt+maxListAge {
 		return // the next pass tries again
 	}
 	for m := e.starts.pop(); m != nil; m = e.starts.pop() {
@@ -47,6 +49,8 @@
 		case !m.worker.reported: // without this member, the rest of a gang would wait in vain
 			e.abort(m.unit, "worker restarted")
 			e.release(m)
+		case m.worker.overcommitted(m.demand()):
+			e.abort(m.unit, "capacity has shrunk")
 		default:
 			e.dispatchStart(m)
 		}
@@ -56,7 +60,7 @@
 // dispatchStart sends the start of a planned member in the background.
 func (e *Engine) dispatchStart(m *member) {
 	u, w := m.unit, m.worker
-	m.phase = starting
+	m.phase, m.sentAt = starting, e.SinceBoot()
 	e.starts.inFlight++
 	order := target.Start{
 		Task: m.task(), Run: u.run, Spec: u.job.Spec, Token: e.Lease.Token, Saved: m.resumedFrom, Ticket: m.ticket,
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -36,6 +36,8 @@
 	durableEnd        int64                   // all run ends up to this number are durable
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
+	lostAt            time.Duration           // when it broke its connection, else when it last answered before it was silent
+	maintainedUntil   time.Duration           // a restart until then is due to maintenance of its host
 	probedAt          time.Duration           // when a report was last requested from it while it was silent and without runs
 	refusingUntil     time.Duration           // receives no starts until then, because it refused one
 	cpuShare          cpushare.Limit          // CPU share of the best-effort tasks
@@ -54,6 +56,12 @@
 	return &worker{Worker: w, free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
+// overcommitted reports whether more is reserved on the worker than it has of a resource that a
+// task needs. That happens only when its capacity shrinks.
+func (w *worker) overcommitted(need work.Shape) bool {
+	return (need.CPU > 0 && w.free.CPU < 0) || (need.Memory > 0 && w.free.Memory < 0) || (need.Accelerators > 0 && w.free.Accelerators < 0)
+}
+
 func (w *worker) address() target.Address { return target.Address{ID: w.ID, Host: w.Host} }
 
 // wakeSession makes the worker's session examine at once whether a lease renewal is due.
@@ -156,5 +164,5 @@
 	w.seenEnd, w.durableEnd, w.ackedEnd = 0, 0, 0
 	w.deadline = 0
 	w.failures = straggler.FailureRecord{}
-	w.slowUntil, w.stalledUntil = 0, 0
+	w.slowUntil, w.stalledUntil, w.maintainedUntil = 0, 0, 0
 }
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -38,11 +38,12 @@
 
 	// StoreFaults selects the faults of the store. The zero value means none.
 	StoreFaults struct {
-		Down         bool          // calls fail
-		Silent       bool          // calls that fail get no reply, instead of an error
-		LostShare    float64       // share of the appends that are executed but get no reply
-		LateShare    float64       // share of the appends that get no reply and are executed later
-		ExtraLatency time.Duration // added to the latency of each call
+		Down          bool          // calls fail
+		Silent        bool          // calls that fail get no reply, instead of an error
+		LostShare     float64       // share of the appends that are executed but get no reply
+		LateShare     float64       // share of the appends that get no reply and are executed later
+		ExtraLatency  time.Duration // added to the latency of each call
+		AppendLatency time.Duration // added to the latency of each append
 	}
 
 	topic struct {
@@ -179,6 +180,11 @@
 	}
 	s.mu.Lock()
 	f := s.faults
+	s.mu.Unlock()
+	if err := sleep(ctx, f.AppendLatency); err != nil {
+		return 0, errors.Wrap(store.ErrUnknown, "no reply in time")
+	}
+	s.mu.Lock()
 	late := f.LateShare > 0 && s.Random() < f.LateShare
 	lose := f.LostShare > 0 && s.Random() < f.LostShare
 	s.mu.Unlock()
