A refused offer says nothing about the holder of the lease

Found in review: HandleOffer marked the offering holder as ended before the lease was acquired. If the append failed, the holder was told that the offer was refused and went on; when it was later cut off from the others, this VM did not count the 5.2 s for which it may still renew workers' leases, and a task ran twice. The holder's record is now read again after such an offer.

--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -134,12 +134,25 @@
 		return nil
 	}
 	e.offer = nil
+	ended := e.endedToken
 	e.holder.Token, e.holder.Released = o.token, true
 	e.known, e.end = true, o.end
 	e.endedToken = max(e.endedToken, o.token) // its holder issues no orders once the offer is accepted
 	e.mu.Unlock()
 	l := e.tryAcquire(ctx)
+	if l == nil {
+		e.forgetHolder(ended)
+	}
 	o.acquired <- l != nil
 
 	return l
 }
+
+// forgetHolder discards what an offer told about the holder of the lease, which goes on because
+// the offer was not accepted. The record must be read again.
+func (e *Elector) forgetHolder(endedToken int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holder, e.known, e.endedToken = Holder{}, false, endedToken
+	e.leaseTimeout, e.statusRenewedAt = e.LeaseTimeout, 0
+}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -213,6 +213,13 @@
 	f.current(id).cutOff = cut
 }
 
+// CutFrom cuts a worker off from one caller, or reconnects it.
+func (f *Fleet) CutFrom(id, caller string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current(id).cutOffCallers[caller] = cut
+}
+
 // SetOutcome replaces Outcome for runs that start from now on.
 func (f *Fleet) SetOutcome(outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)) {
 	f.mu.Lock()
