Ignore a silent record that can't be decoded

TestUnreadableSilentRecord failed before: the task starts at 6.8 s on k1 while its run on k0 goes on until 10.9 s.

--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -52,6 +52,8 @@
 	var r silentRecord
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
+
+		return
 	}
 	if !e.Lease.AllMarked(r.Token) {
 		return
