Ask for more advice until a whole gang has room

Found while looking for the cause of LOST elsewhere: a gang of an advised queue got no further tickets as soon as one worker with a ticket had room for one of its tasks, and workers that accept no runs counted. On an idle fleet of which a fifth may run its tasks, a gang of 10 or 20 did not run in 40 s (TestAdvisedGang); one whose workers with tickets are silent neither (TestAdvisedSilentWorker). Now each runs within 5 s.

--- a/internal/run/engine/advice.go
+++ b/internal/run/engine/advice.go
@@ -34,8 +34,8 @@
 // stepName returns the name of a step of an occurrence of a job.
 func stepName(j *job, occur, step int) string { return fmt.Sprintf("%s.%d.%d", j.ID, occur, step) }
 
-// tickets returns the tickets for a step by worker, or nil if there are none. If none of
-// these workers has room for a task, it requests advice on other workers.
+// tickets returns the tickets for a step by worker, or nil if there are none. If these workers
+// have no room for a task, or for all tasks of a gang, it requests advice on other workers.
 func (e *Engine) tickets(j *job, occur, step int) map[string]string {
 	name := stepName(j, occur, step)
 	a := e.adviceByStep[name]
@@ -60,10 +60,19 @@
 	return a.tickets
 }
 
-// lacksRoom reports whether none of the workers with tickets has room for a task.
+// lacksRoom reports whether the workers with tickets have no room for a task, or for all tasks
+// of a gang.
 func (e *Engine) lacksRoom(a *advice, j *job, step int) bool {
+	st, now := &j.Steps[step], e.SinceBoot()
+	needed := 1
+	if st.Gang {
+		needed = st.Count
+	}
 	for id := range a.tickets {
-		if w := e.workers[id]; w != nil && w.listed && !w.Draining && demand(&j.Steps[step]).Fits(w.free) {
+		if w := e.workers[id]; w != nil && w.schedulable(now) {
+			needed -= w.slots(st, needed)
+		}
+		if needed <= 0 {
 			return false
 		}
 	}
@@ -71,14 +80,27 @@
 	return true
 }
 
+// slots returns how many tasks of a step the worker has room for, at most the given number.
+func (w *worker) slots(st *work.Step, most int) int {
+	if st.MaxPerWorker > 0 {
+		most = min(most, st.MaxPerWorker)
+	}
+	n := 0
+	for free := w.free; n < most && demand(st).Fits(free); n++ {
+		free = free.Minus(demand(st))
+	}
+
+	return n
+}
+
 // workersToAsk selects workers that could run the step and have not been named in a
 // request yet. Once all have been, it starts over.
 func (e *Engine) workersToAsk(a *advice, j *job, step int) []string {
 	st := &j.Steps[step]
-	q := e.queuePolicy(j.Queue)
+	q, now := e.queuePolicy(j.Queue), e.SinceBoot()
 	var fresh, asked []string
 	for id, w := range e.workers {
-		if !w.listed || w.Draining || w.Service != q.Service || !demand(st).Fits(w.Capacity) || (st.Label != "" && !slices.Contains(w.Labels, st.Label)) {
+		if !w.schedulable(now) || w.Service != q.Service || !demand(st).Fits(w.Capacity) || (st.Label != "" && !slices.Contains(w.Labels, st.Label)) {
 			continue
 		}
 		if a.asked[id] {
