Wait for the longest lease of a worker that may have restarted

Found in review: a start that reaches a new incarnation of a worker, whose clock began anew, gives it the longest lease that it accepts, 10 s, not the 6 s that planners grant. After a predecessor that is known to have ended, a successor waited 6.4 s only, and a task ran twice. It now waits 10.5 s if the worker isn't listed or its incarnation is young.

A worker that starts again while its first report is waiting for the record must report again before it gets a lease.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -79,7 +79,7 @@
 	if w == nil {
 		w = newWorker(t)
 		w.listed, w.staysUntil = true, e.SinceBoot()+t.TimeToLeave
-		w.expiredBy = e.predecessorExpiry(t.ID)
+		w.expiredBy = e.predecessorExpiry(w)
 		e.stopUnansweredStarts(w)
 		e.workers[t.ID] = w
 		e.Log.Info().Str("event", "worker-listed").Str("worker", t.ID).Str("address", t.Host).Str("rack", t.Rack).
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -33,16 +33,36 @@
 )
 
 // predecessorExpiry returns the time by which the leases that earlier planners granted a
-// worker have expired, so that every run started there before has ended. All planners
-// grant workers the same lease.
-func (e *Engine) predecessorExpiry(worker string) time.Duration {
-	lease := time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
-	s, ok := e.inheritedSilent[worker]
+// worker have expired, so that every run started there before has ended. All planners grant
+// workers the same lease.
+func (e *Engine) predecessorExpiry(w *worker) time.Duration {
+	s, ok := e.inheritedSilent[w.ID]
 	if !ok {
-		return e.Lease.ActiveUntil(e.lastGranter, e.Timing.PredecessorValidity) + lease
+		return e.grantsExpire(e.lastGranter, w)
+	}
+
+	return min(e.grantsExpire(s.Token, w), e.fencedAt+time.Duration(s.Left)*time.Millisecond)
+}
+
+// grantsExpire returns the time by which all leases have expired that planners with the given
+// token or earlier ones granted a worker.
+func (e *Engine) grantsExpire(token int64, w *worker) time.Duration {
+	lease := time.Duration(float64(e.Timing.WorkerLease)/minClockRate) + clockMargin
+	expiry := e.Lease.ActiveUntil(token, e.Timing.PredecessorValidity) + lease
+	if e.mayHaveRestarted(w) {
+		expiry = max(expiry, e.Lease.ActiveUntil(token, 0)+e.maxLease())
 	}
 
-	return min(e.Lease.ActiveUntil(s.Token, e.Timing.PredecessorValidity)+lease, e.fencedAt+time.Duration(s.Left)*time.Millisecond)
+	return expiry
+}
+
+// mayHaveRestarted reports whether a worker may have started again recently. Its clock then
+// began anew, and a start with a deadline of the clock before gave it the longest lease that it
+// accepts.
+func (e *Engine) mayHaveRestarted(w *worker) bool {
+	age := e.Now().Sub(time.UnixMilli(w.Incarnation))
+
+	return !w.listed || w.Incarnation == 0 || age < e.Timing.LateOrderWindow+e.maxLease()
 }
 
 // loadSilent applies the silent record, which was written before this planner fenced its
@@ -63,7 +83,7 @@
 		e.silent[worker] = true
 	}
 	for _, w := range e.workers {
-		w.expiredBy = e.predecessorExpiry(w.ID)
+		w.expiredBy = e.predecessorExpiry(w)
 	}
 }
 
@@ -117,20 +137,25 @@
 		return
 	case e.silent[w.ID]:
 		w.admitting = true
-		e.writeSilent(e.silentWorkers(), func(err error) { e.endAdmitting(w, err) })
+		e.writeSilent(e.silentWorkers(), e.admitWhenDurable(w))
 	case !e.grantRecorded:
 		w.admitting = true
-		e.writer.after(func(err error) { e.endAdmitting(w, err) })
+		e.writer.after(e.admitWhenDurable(w))
 	default:
 		e.admit(w)
 	}
 }
 
-// endAdmitting makes a worker usable once the record that precedes its first lease is durable.
-func (e *Engine) endAdmitting(w *worker, err error) {
-	w.admitting = false
-	if err == nil {
-		e.admit(w)
+// admitWhenDurable returns a callback for the write that must be durable before a worker gets its
+// first lease. A worker that has started again meanwhile must report again first.
+func (e *Engine) admitWhenDurable(w *worker) func(error) {
+	incarnation := w.Incarnation
+
+	return func(err error) {
+		w.admitting = false
+		if err == nil && w.Incarnation == incarnation {
+			e.admit(w)
+		}
 		w.wakeSession()
 	}
 }
