A job avoids at most half of the capacity for its tasks

Found while looking for the cause of LOST elsewhere: a step that is no gang avoided the workers on which its job had failed as long as one was left. Its tasks ran there one after the other, beside idle workers.

--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -189,9 +189,33 @@
 	return names
 }
 
+// avoidsTooMuch reports whether the workers that a unit avoids must be used all the same: without
+// them the fleet could not hold a gang, or would run tasks one after the other although more
+// than half of the capacity for them is avoided.
+func (f *fleetSnapshot) avoidsTooMuch(u *placement.Unit) bool {
+	if !f.couldHold(u) {
+		return true
+	}
+	all := *u
+	all.Avoid = nil
+
+	return !u.Gang && slotsWhenEmpty(f, "", u) < min(len(u.Tasks), slotsWhenEmpty(f, "", &all)/2)
+}
+
 // fitsWhenEmpty reports whether a rack could hold the unit if nothing ran there. An
 // empty rack name stands for the whole fleet.
 func fitsWhenEmpty(f *fleetSnapshot, rack string, u *placement.Unit) bool {
+	n := slotsWhenEmpty(f, rack, u)
+	if u.Gang {
+		return n >= len(u.Tasks)
+	}
+
+	return n > 0
+}
+
+// slotsWhenEmpty returns how many tasks of the unit a rack could hold if nothing ran there. An
+// empty rack name stands for the whole fleet.
+func slotsWhenEmpty(f *fleetSnapshot, rack string, u *placement.Unit) int {
 	n := 0
 	for i := range f.workers {
 		w := &f.workers[i]
@@ -207,11 +231,8 @@
 		}
 		n += fit
 	}
-	if u.Gang {
-		return n >= len(u.Tasks)
-	}
 
-	return n > 0
+	return n
 }
 
 // indexSet returns the indexes of the workers whose names are keys of m.
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -255,7 +255,7 @@
 	if c.unit.DataRackOnly && (waited > est || !fitsWhenEmpty(f, c.unit.DataRack, &c.unit)) {
 		c.unit.DataRackOnly = false
 	}
-	if len(c.unit.Avoid) > 0 && !f.couldHold(&c.unit) {
+	if len(c.unit.Avoid) > 0 && f.avoidsTooMuch(&c.unit) {
 		c.unit.Avoid = nil
 	}
 	if c.unit.SameRack && !f.couldHold(&c.unit) {
--- a/internal/run/engine/sequence_test.go
+++ b/internal/run/engine/sequence_test.go
@@ -27,8 +27,9 @@
 )
 
 // regressionSeeds are seeds that once revealed a bug. 48: silent workers were never asked
-// for a report again after all VMs had been paused.
-var regressionSeeds = []uint64{48}
+// for a report again after all VMs had been paused. 54: the tasks of a job that had failed on most
+// workers ran one after the other on the last one.
+var regressionSeeds = []uint64{48, 54}
 
 // TestSequences runs random jobs under random faults: VMs are killed, frozen and cut off from
 // the store, the store and the workers lose and delay requests, and workers become
