--- a/internal/run/engine/mutation_test.go
+++ b/internal/run/engine/mutation_test.go
@@ -85,7 +85,7 @@
 		}
 		r.start("a")
 		r.start("b")
-		time.Sleep(time.Second)
+		time.Sleep(time.Minute) // a worker that may have just restarted gets a longer wait of its own
 		r.submit(work.Job{
 			ID: "j", Queue: "batch", Workspace: "w", Spec: "x",
 			Steps: []work.Step{{Count: 1, Need: work.Shape{Accelerators: 8}, Estimate: 20000}},
