--- a/internal/run/engine/crash_test.go
+++ b/internal/run/engine/crash_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -32,15 +30,7 @@
 // same ID, leave and fall silent, and the list of workers lags behind. Once the faults have
 // ended, no accepted job may be without runs for longestIdle while there is room for it twice.
 func TestCrashSequences(t *testing.T) {
-	n, first := uint64(crashSeeds), uint64(1)
-	for name, to := range map[string]*uint64{"SESAMEYOKE_SEEDS": &n, "SESAMEYOKE_SEED": &first} {
-		if v := os.Getenv(name); v != "" {
-			var err error
-			*to, err = strconv.ParseUint(v, 10, 64)
-			require.NoError(t, err)
-		}
-	}
-	for seed := first; seed < first+n; seed++ {
+	for _, seed := range freshSeeds(t, crashSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/run/engine/cutplanner_test.go
+++ b/internal/run/engine/cutplanner_test.go
@@ -19,8 +19,7 @@
 // workers, and then loses up to three of its successors. It guards against a successor that
 // doesn't wait for the leases that the planner still renews.
 func TestCutPlanner(t *testing.T) {
-	first, n := seedRange(t, cutPlannerSeeds)
-	for seed := first; seed < first+n; seed++ {
+	for _, seed := range freshSeeds(t, cutPlannerSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { require.Empty(t, cutPlanner(t, seed)) })
 		})
--- a/internal/run/engine/idle_test.go
+++ b/internal/run/engine/idle_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -128,20 +127,11 @@
 	files, err := filepath.Glob(pattern)
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
-	first, n := 1, idleSeeds
-	if s := os.Getenv("SESAMEYOKE_SEEDS"); s != "" {
-		n, err = strconv.Atoi(s)
-		require.NoError(t, err)
-	}
-	if s := os.Getenv("SESAMEYOKE_SEED"); s != "" {
-		first, err = strconv.Atoi(s)
-		require.NoError(t, err)
-	}
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
-		for seed := first; seed < first+n; seed++ {
+		for _, seed := range freshSeeds(t, idleSeeds) {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { replayWatched(t, file, uint64(seed)) })
+				synctest.Test(t, func(t *testing.T) { replayWatched(t, file, seed) })
 			})
 		}
 	}
--- a/internal/run/engine/longrun_test.go
+++ b/internal/run/engine/longrun_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,8 +25,7 @@
 // kinds, workers that only some VMs reach, and workers that restart or leave. It guards against
 // a planner that starts a task while the lease of its previous worker is valid.
 func TestLongRunSequences(t *testing.T) {
-	first, n := seedRange(t, longRunSeeds)
-	for seed := first; seed < first+n; seed++ {
+	for _, seed := range freshSeeds(t, longRunSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				require.Empty(t, runLongSequence(t, seed, mutation{}))
@@ -48,21 +45,6 @@
 	require.NotEmpty(t, found)
 }
 
-// seedRange returns the first seed and the number of seeds, which SESAMEYOKE_SEED and
-// SESAMEYOKE_SEEDS set.
-func seedRange(t *testing.T, n uint64) (first, count uint64) {
-	first, count = 1, n
-	for name, to := range map[string]*uint64{"SESAMEYOKE_SEED": &first, "SESAMEYOKE_SEEDS": &count} {
-		if v := os.Getenv(name); v != "" {
-			var err error
-			*to, err = strconv.ParseUint(v, 10, 64)
-			require.NoError(t, err)
-		}
-	}
-
-	return first, count
-}
-
 // runLongSequence runs one random sequence and returns the violations in the workers' journal.
 func runLongSequence(t *testing.T, seed uint64, m mutation) (violations []string) {
 	r := newRig(t, seed)
