--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -29,6 +29,7 @@
 	names   []string       // sorted
 	index   map[string]int // index in names and workers, by name
 	workers []placement.Worker
+	crashes bool // workers have crashed under tasks of some active job
 }
 
 // snapshotFleet collects the workers and the runs that could be preempted on them.
@@ -53,6 +54,7 @@
 		}
 		f.workers = append(f.workers, pw)
 	}
+	f.crashes = slices.ContainsFunc(e.active, func(j *job) bool { return len(j.crashes) > 0 })
 
 	return f
 }
--- a/internal/run/engine/suspect.go
+++ b/internal/run/engine/suspect.go
@@ -88,6 +88,9 @@
 // keepApart excludes workers from the placement of a candidate that has, or would be beside, a
 // suspect of another job. Only for a short time: a few idle workers are not worth a long wait.
 func (e *Engine) keepApart(c *candidate, f *fleetSnapshot) {
+	if !f.crashes {
+		return
+	}
 	now := e.SinceBoot()
 	suspect := c.hasSuspect()
 	if suspect && now >= c.job.crashedAt+isolationPeriod {
