Measure the capacity in use by cores and accelerators together

An overdue unit goes without its preferences if under half of the capacity is in use. "Of every resource" kept the longer wait of 20 s wherever one is scarce, and let units be spread on deployments whose cores are never half used. Accelerators now count as eight cores, as in the price of discarded work, and the wait is 2 s.

--- a/internal/core/placement/overdue.go
+++ b/internal/core/placement/overdue.go
@@ -3,12 +3,17 @@
 import "time"
 
 const (
-	overdueAfter     = 2 * time.Second  // wait of a unit without runs for its preferences if most of every resource is free
-	overdueAfterBusy = 20 * time.Second // the same if most of some resource is free
-	mostlyFree       = 0.5              // share in use below which most of a resource is free
-	overdueRoom      = 2                // a unit is overdue only beside room for this multiple of it
+	overdueAfter = 2 * time.Second // longest wait of a unit without runs for its preferences beside ample room
+	overdueUse   = 0.5             // share of the capacity in use from which preferences hold longer
+	overdueRoom  = 2               // ample room is that for this multiple of the unit
 )
 
+// MayBeOverdue reports whether a unit of which nothing has run for the given time may be overdue
+// while the given share of its service's capacity is in use.
+func MayBeOverdue(idle time.Duration, used float64) bool {
+	return idle >= overdueAfter && used < overdueUse
+}
+
 // IsOverdue reports whether a unit may no longer wait for what it prefers, because nothing of
 // its job has run for the given time although the workers have ample room. It answers a load
 // of gangs that must be on one rack and are nearly as wide as a rack: runs scattered over all
@@ -18,12 +23,6 @@
 	if u.Gang {
 		tasks = len(u.Tasks)
 	}
-	if s.Kept() < overdueRoom*tasks {
-		return false
-	}
-	if max(s.UsedCPU, s.UsedMemory, s.UsedAccel) < mostlyFree {
-		return idle >= overdueAfter
-	}
 
-	return idle >= overdueAfterBusy && min(s.UsedCPU, s.UsedMemory, s.UsedAccel) < mostlyFree
+	return MayBeOverdue(idle, s.Used) && s.Kept() >= overdueRoom*tasks
 }
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -6,6 +6,13 @@
 	"sesameyoke/internal/core/work"
 )
 
+const (
+	// AccelCores is the number of cores that an accelerator counts as.
+	AccelCores = 8
+
+	milliCores = 1000
+)
+
 // Shortage tells why a unit was not placed: how many of its tasks fit on the workers that
 // could run it, and which constraint keeps out the others. Tasks are counted at the first
 // constraint that applies to their worker, up to twice the tasks of the unit a worker.
@@ -18,7 +25,8 @@
 	Spare         int     // fit on spare workers
 	Reserved      int     // fit on workers reserved for another gang
 	Unschedulable int     // fit on workers that accept no new runs
-	UsedCPU       float64 // share of the CPU of the service's schedulable workers that is in use
+	Used          float64 // share in use of the service's schedulable workers, with accelerators counted as cores
+	UsedCPU       float64 // the same for the CPU alone
 	UsedMemory    float64 // the same for the memory
 	UsedAccel     float64 // the same for the accelerators
 }
@@ -52,11 +60,28 @@
 		s.FitOnRack = max(s.FitOnRack, n)
 	}
 	used := capacity.Minus(free)
+	s.Used = ratio(cores(used), cores(capacity))
 	s.UsedCPU, s.UsedMemory, s.UsedAccel = ratio(used.CPU, capacity.CPU), ratio(used.Memory, capacity.Memory), ratio(used.Accelerators, capacity.Accelerators)
 
 	return s
 }
 
+// Used returns the share in use of a service's schedulable workers, with accelerators counted as
+// cores.
+func Used(workers []Worker, service string) float64 {
+	var capacity, free work.Shape
+	for i := range workers {
+		if w := &workers[i]; w.Service == service && w.Schedulable {
+			capacity, free = capacity.Plus(w.Capacity), free.Plus(w.Free)
+		}
+	}
+
+	return ratio(cores(capacity.Minus(free)), cores(capacity))
+}
+
+// cores returns a shape in thousandths of a core, with accelerators counted as cores.
+func cores(s work.Shape) int { return s.CPU + milliCores*AccelCores*s.Accelerators }
+
 // fitting returns how many tasks of a unit fit on a worker under the unit's hard requirements.
 func (w *Worker) fitting(i int, u *Unit) int {
 	if (u.Allowed != nil && !u.Allowed[i]) || (u.BestEffort && w.NoBestEffort) || (u.Label != "" && !slices.Contains(w.Labels, u.Label)) {
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -14,8 +14,6 @@
 	endingTime = 200 * time.Millisecond
 	// A run that has exceeded its expected run time is expected to take 1/4 of its time so far.
 	overrunDivisor = 4
-	// An accelerator counts as this many cores.
-	accelCores = 8
 	// A serving task counts as 1/2 of its worker's CPU in addition to its need, which keeps
 	// best-effort tasks away.
 	servingCPUDivisor = 2
@@ -29,12 +27,13 @@
 	names   []string       // sorted
 	index   map[string]int // index in names and workers, by name
 	workers []placement.Worker
-	crashes bool // workers have crashed under tasks of some active job
+	crashes bool               // workers have crashed under tasks of some active job
+	used    map[string]float64 // share in use before the decision, by service, once it was asked for
 }
 
 // snapshotFleet collects the workers and the runs that could be preempted on them.
 func (e *Engine) snapshotFleet() *fleetSnapshot {
-	f := &fleetSnapshot{index: map[string]int{}}
+	f := &fleetSnapshot{index: map[string]int{}, used: map[string]float64{}}
 	for name := range e.workers {
 		f.names = append(f.names, name)
 	}
@@ -162,7 +161,7 @@
 		return 0
 	}
 	need := m.demand()
-	cores := float64(need.CPU)/1000 + accelCores*float64(need.Accelerators)
+	cores := float64(need.CPU)/1000 + placement.AccelCores*float64(need.Accelerators)
 	if m.unit.job.Steps[m.unit.step].Checkpoints {
 		return cores * 0.1 // it resumes from a checkpoint, so it counts like a run of 0.1 s
 	}
@@ -191,6 +190,17 @@
 	return names
 }
 
+// usedShare returns the share of a service's capacity that is in use.
+func (f *fleetSnapshot) usedShare(service string) float64 {
+	used, ok := f.used[service]
+	if !ok {
+		used = placement.Used(f.workers, service)
+		f.used[service] = used
+	}
+
+	return used
+}
+
 // avoidsTooMuch reports whether the workers that a unit avoids must be used all the same: without
 // them the fleet could not hold a gang, or would run tasks one after the other although more
 // than half of the capacity for them is avoided.
--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -11,7 +11,7 @@
 	// interval. A unit of which nothing runs is logged alike.
 	waitLogInterval = 2 * time.Second
 	// Largest number of such lines in one pass.
-	maxWaitLines = 8
+	maxWaitLines = 2
 	// Interval between assessments of whether an idle step is overdue.
 	overdueInterval = 250 * time.Millisecond
 )
@@ -52,9 +52,12 @@
 	if s == nil {
 		return
 	}
-	if now >= s.assessedAt+overdueInterval {
+	idle := now - s.since
+	if !placement.MayBeOverdue(idle, f.usedShare(c.unit.Service)) {
+		s.overdue = false
+	} else if now >= s.assessedAt+overdueInterval {
 		shortage := placement.Explain(f.workers, &c.unit)
-		s.overdue, s.assessedAt = placement.IsOverdue(&c.unit, &shortage, now-s.since), now
+		s.overdue, s.assessedAt = placement.IsOverdue(&c.unit, &shortage, idle), now
 	}
 	c.unit.Overdue = s.overdue
 }
@@ -92,7 +95,7 @@
 		Int("cpu", u.Need.CPU).Int("memory", u.Need.Memory).Int("accelerators", u.Need.Accelerators).Bool("claim", u.HasClaim).Bool("overdue", u.Overdue).
 		Int("fit", s.Fit).Int("onrack", s.FitOnRack).Int("avoided", s.Avoided).Int("otherrack", s.OtherRack).Int("claimed", s.Claimed).
 		Int("spare", s.Spare).Int("reserved", s.Reserved).Int("unschedulable", s.Unschedulable).
-		Float64("usedcpu", s.UsedCPU).Float64("usedmemory", s.UsedMemory).Float64("usedaccel", s.UsedAccel).Msg("")
+		Float64("used", s.Used).Float64("usedcpu", s.UsedCPU).Float64("usedmemory", s.UsedMemory).Float64("usedaccel", s.UsedAccel).Msg("")
 }
 
 // logFleet logs how many workers accept no runs, by reason.
