--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
+go test -count=1 -timeout 10m -run TestCrashSequences ./internal/run/engine # crashes the race detector's runtime
 if go test -race -timeout 15m ./... 2>&1 | tee "$out"; then
   exit 0
 fi
