--- /dev/null
+++ b/review/_driver/worker.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	maxHoldMs   = 10000
+	killGrace   = 200 * time.Millisecond
+	workerTick  = 10 * time.Millisecond
+	serviceName = "svc"
+	endsAtOnce  = 500
+)
+
+type (
+	// worker is a server that runs tasks, as PROTOCOL.md describes it.
+	worker struct {
+		d       *driver
+		id      string
+		machine string
+		address string
+		labels  []string
+
+		mu       sync.Mutex
+		server   *http.Server
+		up       bool
+		bornAt   time.Time
+		token    int64
+		deadline int64
+		runs     map[string]*taskRun
+		highest  map[string]int64
+		ends     []taskEnd
+		endCount int64
+		changed  chan struct{}
+	}
+
+	taskRun struct {
+		task   string
+		run    int64
+		from   time.Time
+		length time.Duration
+		killAt time.Time
+	}
+
+	taskEnd struct {
+		number int64
+		task   string
+		run    int64
+		how    string
+	}
+)
+
+func newWorker(d *driver, i int, labels []string) *worker {
+	w := &worker{d: d, id: fmt.Sprintf("i-%08d", i), machine: fmt.Sprintf("m-%03d", i), labels: labels, changed: make(chan struct{})}
+	go w.tick()
+
+	return w
+}
+
+// start starts an incarnation of the worker and publishes its entry.
+func (w *worker) start() {
+	address := w.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		w.d.fatal("listen for worker %s: %v", w.id, err)
+	}
+	w.mu.Lock()
+	w.address = ln.Addr().String()
+	w.up, w.bornAt = true, time.Now()
+	w.token, w.deadline, w.endCount, w.ends = 0, 0, 0, nil
+	w.runs, w.highest = map[string]*taskRun{}, map[string]int64{}
+	w.server = &http.Server{Handler: w.handler()}
+	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
+	w.publish()
+	w.mu.Unlock()
+	w.d.note("worker %s (%s) starts", w.id, strings.Join(w.labels, ","))
+}
+
+// publish writes the worker's entry. w.mu must be held.
+func (w *worker) publish() {
+	b, _ := json.Marshal(map[string]any{
+		"service": serviceName, "address": w.address, "zone": "z1", "version": "v1", "capacity": 8, "state": "ready", "coldRemainingMs": 0,
+		"headroom": map[string]int{"cpu": 32000, "memMb": 65536, "gpu": 8}, "labels": w.labels, "clockMs": w.clock(), "sequence": 1,
+		"born": w.bornAt.UnixMilli(),
+	})
+	w.d.store.put("keyed.servers", w.id, b)
+}
+
+// crash ends the worker's process: its connections are reset and its runs are gone.
+func (w *worker) crash(why string) {
+	w.mu.Lock()
+	w.up = false
+	server := w.server
+	for _, r := range w.runs {
+		w.d.runEnded(w, r, "gone")
+	}
+	w.runs = map[string]*taskRun{}
+	w.mu.Unlock()
+	_ = server.Close()
+	w.d.note("worker %s %s", w.id, why)
+}
+
+func (w *worker) clock() int64 { return time.Since(w.bornAt).Milliseconds() }
+
+func (w *worker) tick() {
+	for range time.Tick(workerTick) {
+		w.mu.Lock()
+		if w.up {
+			w.advance()
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *worker) advance() {
+	for _, r := range w.runs {
+		switch {
+		case w.clock() > w.deadline:
+			w.end(r, "lapsed")
+		case !r.killAt.IsZero() && time.Now().After(r.killAt):
+			w.end(r, "stopped")
+		case time.Since(r.from) >= r.length:
+			w.end(r, "done")
+		}
+	}
+}
+
+func (w *worker) end(r *taskRun, how string) {
+	delete(w.runs, r.task)
+	w.highest[r.task] = max(w.highest[r.task], r.run)
+	w.endCount++
+	w.ends = append(w.ends, taskEnd{w.endCount, r.task, r.run, how})
+	w.d.runEnded(w, r, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+type orderBody struct {
+	Task         string `json:"task"`
+	RunID        int64  `json:"runId"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	AckCursor    int64  `json:"ackCursor"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+func (w *worker) handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	m.HandleFunc("POST /run-start", w.order(w.startRun))
+	m.HandleFunc("POST /run-stop", w.order(w.stopRun))
+	m.HandleFunc("POST /hold", w.order(w.hold))
+
+	return m
+}
+
+// order decodes an order, checks the incarnation and the fencing token, and calls f with w.mu held.
+func (w *worker) order(f func(rw http.ResponseWriter, r *http.Request, o orderBody)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var o orderBody
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			reply(rw, http.StatusBadRequest, map[string]any{})
+
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch {
+		case r.Header.Get("Expected-Instance") != w.id:
+			reply(rw, http.StatusMisdirectedRequest, map[string]any{})
+
+			return
+		case o.FencingToken < w.token:
+			reply(rw, http.StatusConflict, map[string]any{"clockMs": w.clock(), "reason": "fence"})
+
+			return
+		}
+		w.token = o.FencingToken
+		w.advance()
+		f(rw, r, o)
+	}
+}
+
+func (w *worker) extend(deadline int64) {
+	w.deadline = max(w.deadline, min(deadline, w.clock()+maxHoldMs))
+}
+
+func (w *worker) startRun(rw http.ResponseWriter, _ *http.Request, o orderBody) {
+	if o.DeadlineMs <= w.clock() {
+		reply(rw, http.StatusConflict, map[string]any{"clockMs": w.clock(), "reason": "late"})
+
+		return
+	}
+	w.extend(o.DeadlineMs)
+	old := w.runs[o.Task]
+	switch {
+	case old != nil && old.run == o.RunID:
+	case old != nil || o.RunID <= w.highest[o.Task]:
+		reply(rw, http.StatusConflict, map[string]any{"clockMs": w.clock(), "reason": "old"})
+
+		return
+	default:
+		length, _ := strconv.Atoi(o.Spec)
+		w.runs[o.Task] = &taskRun{task: o.Task, run: o.RunID, from: time.Now(), length: time.Duration(length) * time.Millisecond}
+		w.d.runStarted(w, o)
+	}
+	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
+}
+
+func (w *worker) stopRun(rw http.ResponseWriter, _ *http.Request, o orderBody) {
+	w.highest[o.Task] = max(w.highest[o.Task], o.RunID)
+	if r := w.runs[o.Task]; r != nil && r.run <= o.RunID && r.killAt.IsZero() {
+		r.killAt = time.Now().Add(killGrace)
+	}
+	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
+}
+
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o orderBody) {
+	if o.DeadlineMs > 0 {
+		w.extend(o.DeadlineMs)
+	}
+	for len(w.ends) > 0 && w.ends[0].number <= o.AckCursor {
+		w.d.endAcked(w, w.ends[0])
+		w.ends = w.ends[1:]
+	}
+	born, until := w.bornAt, time.Now().Add(time.Duration(min(o.WaitMs, 2000))*time.Millisecond)
+	for len(w.ends) == 0 && time.Now().Before(until) {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Until(until)):
+		case <-r.Context().Done():
+		}
+		w.mu.Lock()
+		if !w.up || w.bornAt != born || r.Context().Err() != nil {
+			return
+		}
+	}
+	running, ended := [][]any{}, [][]any{}
+	for _, x := range w.runs {
+		percent := min(100, int(100*time.Since(x.from)/max(1, x.length)))
+		running = append(running, []any{x.task, x.run, "", percent, 0})
+	}
+	for _, e := range w.ends[:min(len(w.ends), endsAtOnce)] {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+	}
+	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.bornAt.UnixMilli(), "running": running, "endedRuns": ended})
+}
