--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -17,35 +17,38 @@
 	return all
 }
 
-// again: the store is down for a while, at the end of which jobs are handed in; the VMs are restarted in
-// turn; later they are restarted again. No task may start again after its end was taken note of.
+// again: the store is slow while jobs are handed in and the VMs are stopped and started in turn, first
+// the planner; later the VMs are stopped and started again. No task may start again after its end was
+// taken note of.
 func again(d *driver) {
 	const (
-		jobs = 30
-		down = 4500 * time.Millisecond
-		gap  = 80 * time.Millisecond
+		jobs    = 40
+		gap     = 50 * time.Millisecond
+		slow    = 240 * time.Millisecond // 60 times the usual 4 ms
+		slowFor = 4500 * time.Millisecond
 	)
 	d.boot(3, usual(6))
-	setSilent := func(on bool) {
+	setSlow := func(by time.Duration) {
 		d.store.mu.Lock()
-		d.store.silent = on
+		d.store.slow = by
 		d.store.mu.Unlock()
-		d.note("store silent: %v", on)
+		d.note("the store's answers are late by %v", by)
 	}
 	if d.trouble {
-		setSilent(true)
+		setSlow(slow)
+		time.AfterFunc(slowFor, func() { setSlow(0) })
 	}
-	time.Sleep(down - jobs*gap)
 	var wait sync.WaitGroup
 	accepted := make([]bool, jobs)
 	id := func(i int) string { return fmt.Sprintf("%016x", 0xa0000000+i) }
-	for i := range jobs {
-		wait.Go(func() { accepted[i] = d.submit(i, tenants[0], queues[1], id(i), job(1000, 1, nil)) })
-		time.Sleep(gap)
-	}
-	if d.trouble {
-		setSilent(false)
-	}
+	wait.Go(func() {
+		for i := range jobs {
+			wait.Go(func() { accepted[i] = d.submit(i, tenants[0], queues[1], id(i), job(1000, 1, nil)) })
+			time.Sleep(gap)
+		}
+	})
+	time.Sleep(jobs * gap / 2)
+	d.rollingRestart(d.store.planner())
 	wait.Wait()
 	for i := range jobs {
 		if accepted[i] {
@@ -56,16 +59,32 @@
 	}
 	ended := time.Now()
 	d.note("all accepted jobs are completed")
-	d.rollingRestart()
+	if d.trouble {
+		d.note("jobs that the store holds in both topics: %d", d.inBothTopics())
+	}
 	retention := time.Duration(d.statusS) * time.Second * 5 / 4
 	time.Sleep(time.Until(ended.Add(retention + 2*time.Second)))
-	d.rollingRestart()
+	d.rollingRestart(0)
 	time.Sleep(5 * time.Second)
 	for i := range jobs {
 		d.checkTwice(id(i))
 	}
 }
 
+// inBothTopics counts the jobs whose record is in two topics of the store.
+func (d *driver) inBothTopics() int {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	n := 0
+	for key := range d.store.topic("keyed.handin").newest {
+		if _, ok := d.store.topic("keyed.jobs").newest[key]; ok {
+			n++
+		}
+	}
+
+	return n
+}
+
 // checkTwice checks that no task of a job starts after a run of it has ended done, if that end was
 // taken note of.
 func (d *driver) checkTwice(id string) {
@@ -153,7 +172,7 @@
 	}
 	d.note("the store has refused %d appends because of a record's size", d.store.rejects)
 	if d.trouble && len(d.broken) > 0 {
-		d.rollingRestart()
+		d.rollingRestart(0)
 		time.Sleep(10 * time.Second)
 		for _, id := range ids {
 			status, s := d.state(tenants[0], queues[0], id)
--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -377,9 +377,10 @@
 	return r.StatusCode == http.StatusOK
 }
 
-// rollingRestart stops and starts all VMs in turn.
-func (d *driver) rollingRestart() {
-	for _, v := range d.vms {
+// rollingRestart stops and starts all VMs in turn, from the given one on.
+func (d *driver) rollingRestart(first int) {
+	for i := range d.vms {
+		v := d.vms[(first+i)%len(d.vms)]
 		v.stop()
 		v.start()
 		for range 100 {
--- a/review/_driver/store.go
+++ b/review/_driver/store.go
@@ -31,7 +31,7 @@
 		leader  int // index of the VM that last wrote under a condition
 		rejects int // appends refused because of a record's size
 
-		silent bool // the store is down: it executes nothing and answers nothing
+		slow time.Duration // by which all answers are late
 	}
 
 	logTopic struct {
@@ -72,18 +72,15 @@
 	m.HandleFunc("GET /log-read", s.read)
 	m.HandleFunc("GET /log-newest", s.list)
 
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		silent := s.silent
-		s.mu.Unlock()
-		if silent {
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
+	return m
+}
 
-			return
-		}
-		m.ServeHTTP(w, r)
-	})
+// delay holds an answer back while the store is slow.
+func (s *metaStore) delay() {
+	s.mu.Lock()
+	d := s.slow
+	s.mu.Unlock()
+	time.Sleep(d)
 }
 
 func parseRecords(b []byte) ([]keyedRecord, string) {
@@ -156,6 +153,7 @@
 		s.leader = vm
 	}
 	s.mu.Unlock()
+	s.delay()
 	reply(w, status, out)
 }
 
@@ -253,6 +251,7 @@
 		changed := t.changed
 		s.mu.Unlock()
 		if len(out) > head || ctx.Err() != nil {
+			s.delay()
 			_, _ = w.Write(out)
 
 			return
@@ -289,5 +288,6 @@
 	}
 	end := len(t.records)
 	s.mu.Unlock()
+	s.delay()
 	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "endOffset": end})
 }
