--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -102,8 +102,9 @@
 	}
 }
 
-// crashes: one of eight workers crashes again and again and is back soon after. A job that needs its
-// label may take longer, but must not be shown as failed: none of its runs has ended failed.
+// crashes: one of eight workers crashes again and again and is back soon after. Two jobs need its
+// label, one of them lasts. They may take longer, but must not be shown as failed: no run of theirs has
+// ended failed.
 func crashes(d *driver) {
 	const (
 		series = 6
@@ -113,9 +114,10 @@
 	labels := usual(8)
 	labels[0][0] = "b"
 	d.boot(3, labels)
-	w, id := d.workers[0], "00000000b0000001"
-	if !d.submit(0, tenants[0], queues[1], id, job(5000, 1, map[string]any{"requires": "b"})) {
-		d.fatal("the job was not accepted")
+	w, short, lasting := d.workers[0], "00000000b0000001", "00000000b0000002"
+	if !d.submit(0, tenants[0], queues[1], short, job(5000, 1, map[string]any{"requires": "b"})) ||
+		!d.submit(1, tenants[0], queues[1], lasting, job(int(endless.Milliseconds()), 1, map[string]any{"requires": "b", "longRunning": true, "estimateMs": 5000})) {
+		d.fatal("a job was not accepted")
 	}
 	time.Sleep(time.Second)
 	if d.trouble {
@@ -127,16 +129,20 @@
 		}
 		d.note("the worker crashes no more")
 	}
-	last := d.awaitState(tenants[0], queues[1], id, 30*time.Second, "completed", "failed")
-	failed := 0
-	for _, s := range d.startsOf(id) {
-		if s.how == "failed" {
-			failed++
+	d.awaitState(tenants[0], queues[1], short, 30*time.Second, "completed", "failed")
+	time.Sleep(8 * time.Second)
+	for _, id := range []string{short, lasting} {
+		failed, starts := 0, d.startsOf(id)
+		for _, s := range starts {
+			if s.how == "failed" {
+				failed++
+			}
+		}
+		_, state := d.state(tenants[0], queues[1], id)
+		d.note("job %s is %q; %d starts, %d runs ended failed", id, state, len(starts), failed)
+		if state == "failed" && failed == 0 {
+			d.breaks("LOST: job %s is shown as failed; none of its %d runs ended failed", id, len(starts))
 		}
-	}
-	d.note("the job is %q; %d starts, %d runs ended failed", last, len(d.startsOf(id)), failed)
-	if last == "failed" && failed == 0 {
-		d.breaks("LOST: job %s is shown as failed; none of its %d runs ended failed", id, len(d.startsOf(id)))
 	}
 }
 
@@ -163,14 +169,13 @@
 			ids = append(ids, id)
 		}
 	}
-	d.note("the store has refused %d appends because of a record's size", d.store.rejects)
 	time.Sleep(14 * time.Second)
 	for _, id := range ids {
 		if status, s := d.state(tenants[0], queues[0], id); s != "completed" && len(d.startsOf(id)) == 0 {
 			d.breaks("LOST: 14 s after it was accepted, job %s has not started (status %d, state %q)", id, status, s)
 		}
 	}
-	d.note("the store has refused %d appends because of a record's size", d.store.rejects)
+	d.note("the store has refused %d appends because of a record's size, the first at %.1f s", d.store.rejects, d.store.rejectedAt.Sub(d.began).Seconds())
 	if d.trouble && len(d.broken) > 0 {
 		d.rollingRestart(0)
 		time.Sleep(10 * time.Second)
@@ -268,3 +273,65 @@
 	}
 	d.breaks("LOST: the second step of job %s has not started, with all workers free", id)
 }
+
+// terms: the planner's VM freezes and wakes again, 38 times, so that another VM takes the lease each
+// time. Afterwards all is calm, and jobs must still run.
+func terms(d *driver) {
+	const (
+		freezes  = 38
+		frozen   = 2000 * time.Millisecond
+		interval = 2150 * time.Millisecond
+		calm     = 8 * time.Second
+	)
+	d.boot(3, usual(6))
+	stop := make(chan struct{})
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			go d.submit(i, tenants[0], queues[1], fmt.Sprintf("%016x", 0x90000000+i), job(1000, 4, nil))
+		}
+	}()
+	for i := range freezes {
+		v := d.vms[d.store.planner()]
+		if d.trouble {
+			v.signal(syscall.SIGSTOP)
+		}
+		time.Sleep(frozen)
+		if d.trouble {
+			v.signal(syscall.SIGCONT)
+		}
+		time.Sleep(interval - frozen)
+		if i%10 == 9 {
+			d.noteConnections()
+		}
+	}
+	close(stop)
+	time.Sleep(calm)
+	d.noteConnections()
+	var ids []string
+	for i := range 5 {
+		id := fmt.Sprintf("%016x", 0x91000000+i)
+		if d.submit(i, tenants[0], queues[1], id, job(1000, 1, nil)) {
+			ids = append(ids, id)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	d.noteConnections()
+	for _, id := range ids {
+		if len(d.startsOf(id)) == 0 {
+			d.breaks("LOST: 8 s after it was accepted, and 16 s after the last freeze, job %s has not started", id)
+		}
+	}
+}
+
+func (d *driver) noteConnections() {
+	text := ""
+	for _, w := range d.workers {
+		text += fmt.Sprintf(" %s: %d open, %d reset;", w.id, w.open.Load(), w.resets.Load())
+	}
+	d.note("connections to the workers:%s", text)
+}
--- a/review/_driver/store.go
+++ b/review/_driver/store.go
@@ -26,10 +26,11 @@
 type (
 	// metaStore is the platform's metadata store: a log with keyed topics.
 	metaStore struct {
-		mu      sync.Mutex
-		topics  map[string]*logTopic
-		leader  int // index of the VM that last wrote under a condition
-		rejects int // appends refused because of a record's size
+		mu         sync.Mutex
+		topics     map[string]*logTopic
+		leader     int       // index of the VM that last wrote under a condition
+		rejects    int       // appends refused because of a record's size
+		rejectedAt time.Time // of the first of them
 
 		slow time.Duration // by which all answers are late
 	}
@@ -142,6 +143,9 @@
 	s.mu.Lock()
 	if fault != "" {
 		s.rejects++
+		if s.rejects == 1 {
+			s.rejectedAt = time.Now()
+		}
 		s.mu.Unlock()
 		reply(w, http.StatusBadRequest, map[string]any{"reason": fault})
 
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	workerTick  = 10 * time.Millisecond
 	serviceName = "svc"
 	endsAtOnce  = 500
+	maxConns    = 64
+	endless     = 24 * time.Hour // length of a task that lasts
 )
 
 type (
@@ -27,6 +30,8 @@
 		machine string
 		address string
 		labels  []string
+		open    atomic.Int64 // connections
+		resets  atomic.Int64 // connections that were reset because they were beyond the cap
 
 		mu       sync.Mutex
 		server   *http.Server
@@ -80,12 +85,52 @@
 	w.token, w.deadline, w.endCount, w.ends = 0, 0, 0, nil
 	w.runs, w.highest = map[string]*taskRun{}, map[string]int64{}
 	w.server = &http.Server{Handler: w.handler()}
-	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
+	go func(s *http.Server) { _ = s.Serve(&cappedListener{Listener: ln, worker: w}) }(w.server)
 	w.publish()
 	w.mu.Unlock()
 	w.d.note("worker %s (%s) starts", w.id, strings.Join(w.labels, ","))
 }
 
+type (
+	// cappedListener resets the connections beyond those that a worker takes.
+	cappedListener struct {
+		net.Listener
+		worker *worker
+	}
+
+	countedConn struct {
+		net.Conn
+		once   sync.Once
+		worker *worker
+	}
+)
+
+// Accept returns the next connection within the cap.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.worker.open.Add(1) <= maxConns {
+			return &countedConn{Conn: c, worker: l.worker}, nil
+		}
+		l.worker.open.Add(-1)
+		l.worker.resets.Add(1)
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close closes the connection and counts it once.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.worker.open.Add(-1) })
+
+	return c.Conn.Close()
+}
+
 // publish writes the worker's entry. w.mu must be held.
 func (w *worker) publish() {
 	b, _ := json.Marshal(map[string]any{
@@ -251,6 +296,9 @@
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range w.runs {
 		percent := min(100, int(100*time.Since(x.from)/max(1, x.length)))
+		if x.length >= endless {
+			percent = 100
+		}
 		running = append(running, []any{x.task, x.run, "", percent, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), endsAtOnce)] {
