--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -102,50 +102,6 @@
 	}
 }
 
-// crashes: one of eight workers crashes again and again and is back soon after. Two jobs need its
-// label, one of them lasts. They may take longer, but must not be shown as failed: no run of theirs has
-// ended failed.
-func crashes(d *driver) {
-	const (
-		series = 6
-		down   = time.Second
-		period = 4 * time.Second
-	)
-	labels := usual(8)
-	labels[0][0] = "b"
-	d.boot(3, labels)
-	w, short, lasting := d.workers[0], "00000000b0000001", "00000000b0000002"
-	if !d.submit(0, tenants[0], queues[1], short, job(5000, 1, map[string]any{"requires": "b"})) ||
-		!d.submit(1, tenants[0], queues[1], lasting, job(int(endless.Milliseconds()), 1, map[string]any{"requires": "b", "longRunning": true, "estimateMs": 5000})) {
-		d.fatal("a job was not accepted")
-	}
-	time.Sleep(time.Second)
-	if d.trouble {
-		for range series {
-			w.crash("crashes")
-			time.Sleep(down)
-			w.start()
-			time.Sleep(period - down)
-		}
-		d.note("the worker crashes no more")
-	}
-	d.awaitState(tenants[0], queues[1], short, 30*time.Second, "completed", "failed")
-	time.Sleep(8 * time.Second)
-	for _, id := range []string{short, lasting} {
-		failed, starts := 0, d.startsOf(id)
-		for _, s := range starts {
-			if s.how == "failed" {
-				failed++
-			}
-		}
-		_, state := d.state(tenants[0], queues[1], id)
-		d.note("job %s is %q; %d starts, %d runs ended failed", id, state, len(starts), failed)
-		if state == "failed" && failed == 0 {
-			d.breaks("LOST: job %s is shown as failed; none of its %d runs ended failed", id, len(starts))
-		}
-	}
-}
-
 // wide: a tenant hands in a job that recurs with overlapping occurrences. Jobs of another tenant
 // must still run.
 func wide(d *driver) {
@@ -245,33 +201,37 @@
 	}
 }
 
-// route: the operator removes a route while an accepted job of that queue has a step left, and the
-// planner is killed. The step must still start.
+// route: while an accepted job has a step left, the operator replaces its route by one of another name
+// with the same host, path prefix and service, and the VMs are stopped and started in turn, first the
+// planner. The step must still start.
 func route(d *driver) {
 	d.boot(3, usual(6))
-	id := "00000000f0000001"
-	two := job(3000, 1, nil)
-	two["steps"] = append(two["steps"].([]any), map[string]any{"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimateMs": 3000, "dependsOn": []int{0}})
-	if !d.submit(0, tenants[0], queues[1], id, two) {
+	id, old := "00000000f0000001", queues[1]
+	two := job(8000, 1, nil)
+	two["steps"] = append(two["steps"].([]any), map[string]any{"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimateMs": 8000, "dependsOn": []int{0}})
+	if !d.submit(0, tenants[0], old, id, two) {
 		d.fatal("the job was not accepted")
 	}
 	time.Sleep(500 * time.Millisecond)
 	if d.trouble {
-		queues = queues[:1]
+		queues[1].name = "q-usual-2"
 		d.publishConfig(2)
-		time.Sleep(1500 * time.Millisecond)
-		v := d.vms[d.store.planner()]
-		v.signal(syscall.SIGKILL)
-		<-v.exited
-		v.start()
 	}
-	time.Sleep(25 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
+	d.rollingRestart(d.store.planner())
+	time.Sleep(16 * time.Second)
+	d.state(tenants[0], old, id)
+	other := "00000000f0000002"
+	if d.submit(0, tenants[0], old, other, job(1000, 1, nil)) {
+		d.note("a new job at the same address is %q", d.awaitState(tenants[0], old, other, 10*time.Second, "completed"))
+	}
+	_, state := d.state(tenants[0], old, id)
 	for _, s := range d.startsOf(id) {
 		if s.task == id+".0.1.0" {
 			return
 		}
 	}
-	d.breaks("LOST: the second step of job %s has not started, with all workers free", id)
+	d.breaks("LOST: the second step of job %s has not started, with all workers free; the job is shown as %q", id, state)
 }
 
 // terms: the planner's VM freezes and wakes again, 38 times, so that another VM takes the lease each
@@ -335,3 +295,75 @@
 	}
 	d.note("connections to the workers:%s", text)
 }
+
+// lease: a worker crashes and returns; a start that reaches it right then gets no answer and is carried
+// out late; later the worker is cut off for 5.5 s and runs on. No task may run twice at the same time.
+func lease(d *driver) {
+	const (
+		uptime  = 20 * time.Second
+		down    = 1500 * time.Millisecond // of the crash
+		publish = 300 * time.Millisecond  // until the new incarnation has written its entry
+		lateBy  = 10 * time.Second        // of the start without an answer
+		cutFrom = 4800 * time.Millisecond // from the restart on, during the next call to hold
+		cutFor  = 5500 * time.Millisecond
+	)
+	labels := usual(8)
+	labels[0][0], labels[1][0] = "b", "b"
+	d.boot(3, labels)
+	w, other := d.workers[0], d.workers[1]
+	filler, id := "00000000b1000001", "00000000b1000002"
+	time.Sleep(uptime)
+	d.submit(0, tenants[0], queues[1], filler, job(10000, 1, map[string]any{"requires": "b", "gpu": 8}))
+	time.Sleep(300 * time.Millisecond)
+	all := d.startsOf(filler)
+	if len(all) != 1 {
+		d.fatal("the first job has not started once")
+	}
+	if all[0].worker == w.id {
+		w = other
+	}
+	if d.trouble {
+		w.crash("crashes")
+		time.Sleep(down)
+		w.mu.Lock()
+		w.lateTask, w.lateBy = id+".0.0.1", lateBy
+		w.mu.Unlock()
+		w.startAndPublish(publish)
+	}
+	restarted := time.Now()
+	d.submit(0, tenants[0], queues[1], id, job(16000, 2, map[string]any{"requires": "b"}))
+	if d.trouble {
+		for {
+			w.mu.Lock()
+			held := w.heldAt
+			w.mu.Unlock()
+			if held.Sub(restarted) > cutFrom {
+				time.Sleep(time.Until(held.Add(1650 * time.Millisecond)))
+
+				break
+			}
+			if time.Since(restarted) > 15*time.Second {
+				d.fatal("the worker is not held")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.cut.Store(true)
+		d.note("worker %s is cut off", w.id)
+		time.Sleep(cutFor)
+		w.cut.Store(false)
+		d.note("worker %s is back", w.id)
+	}
+	d.awaitState(tenants[0], queues[1], id, 40*time.Second, "completed", "failed")
+	all = d.startsOf(id)
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			if a.task == b.task && b.at.Before(a.endedAt) {
+				d.breaks("TWICE: task %s started on %s (run %d) while run %d went on on %s, for %.1f s more", a.task, b.worker, b.run, a.run, a.worker,
+					a.endedAt.Sub(b.at).Seconds())
+			}
+			if a.task == b.task && a.how == "done" && b.at.After(a.endedAt) {
+				d.breaks("TWICE: task %s started on %s (run %d) after run %d had ended done on %s", a.task, b.worker, b.run, a.run, a.worker)
+			}
+		}
+	}
+}
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,13 +27,17 @@
 type (
 	// worker is a server that runs tasks, as PROTOCOL.md describes it.
 	worker struct {
-		d       *driver
-		id      string
-		machine string
-		address string
-		labels  []string
-		open    atomic.Int64 // connections
-		resets  atomic.Int64 // connections that were reset because they were beyond the cap
+		d        *driver
+		id       string
+		machine  string
+		address  string
+		labels   []string
+		cut      atomic.Bool   // calls neither arrive nor are answered
+		lateTask string        // the first start of this task gets no answer and is carried out late
+		lateBy   time.Duration // how long after its arrival
+		heldAt   time.Time     // arrival of the newest call to hold that was let in
+		open     atomic.Int64  // connections
+		resets   atomic.Int64  // connections that were reset because they were beyond the cap
 
 		mu       sync.Mutex
 		server   *http.Server
@@ -70,7 +76,10 @@
 }
 
 // start starts an incarnation of the worker and publishes its entry.
-func (w *worker) start() {
+func (w *worker) start() { w.startAndPublish(0) }
+
+// startAndPublish starts an incarnation of the worker. Its entry is published after the given time.
+func (w *worker) startAndPublish(after time.Duration) {
 	address := w.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -86,7 +95,16 @@
 	w.runs, w.highest = map[string]*taskRun{}, map[string]int64{}
 	w.server = &http.Server{Handler: w.handler()}
 	go func(s *http.Server) { _ = s.Serve(&cappedListener{Listener: ln, worker: w}) }(w.server)
-	w.publish()
+	if after == 0 {
+		w.publish()
+	} else {
+		time.AfterFunc(after, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.publish()
+			w.d.note("worker %s publishes its entry", w.id)
+		})
+	}
 	w.mu.Unlock()
 	w.d.note("worker %s (%s) starts", w.id, strings.Join(w.labels, ","))
 }
@@ -213,6 +231,12 @@
 // order decodes an order, checks the incarnation and the fencing token, and calls f with w.mu held.
 func (w *worker) order(f func(rw http.ResponseWriter, r *http.Request, o orderBody)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
+		if w.cut.Load() {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+
+			return
+		}
 		var o orderBody
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 			reply(rw, http.StatusBadRequest, map[string]any{})
@@ -231,12 +255,38 @@
 
 			return
 		}
+		if w.lateTask != "" && o.Task == w.lateTask && r.URL.Path == "/run-start" {
+			w.keepLate(o)
+			w.mu.Unlock()
+			<-r.Context().Done()
+			w.mu.Lock()
+
+			return
+		}
 		w.token = o.FencingToken
 		w.advance()
 		f(rw, r, o)
 	}
 }
 
+// keepLate takes a start that is to be carried out late. w.mu must be held.
+func (w *worker) keepLate(o orderBody) {
+	w.lateTask = ""
+	w.d.note("worker %s: the start of task %s run %d gets no answer", w.id, o.Task, o.RunID)
+	time.AfterFunc(w.lateBy, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.advance()
+		answer := httptest.NewRecorder()
+		if o.FencingToken >= w.token {
+			w.token = o.FencingToken
+			w.startRun(answer, nil, o)
+		}
+		w.d.note("worker %s carries out the late start of task %s run %d: %d %s; its lease ends in %d ms", w.id, o.Task, o.RunID,
+			answer.Code, strings.TrimSpace(answer.Body.String()), w.deadline-w.clock())
+	})
+}
+
 func (w *worker) extend(deadline int64) {
 	w.deadline = max(w.deadline, min(deadline, w.clock()+maxHoldMs))
 }
@@ -279,6 +329,9 @@
 		w.d.endAcked(w, w.ends[0])
 		w.ends = w.ends[1:]
 	}
+	if o.WaitMs > 0 {
+		w.heldAt = time.Now()
+	}
 	born, until := w.bornAt, time.Now().Add(time.Duration(min(o.WaitMs, 2000))*time.Millisecond)
 	for len(w.ends) == 0 && time.Now().Before(until) {
 		changed := w.changed
@@ -293,6 +346,13 @@
 			return
 		}
 	}
+	if w.cut.Load() {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+
+		return
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range w.runs {
 		percent := min(100, int(100*time.Since(x.from)/max(1, x.length)))
