--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 [ -x target/sesameyoke ] && [ -x target/review-driver ] || { echo "not built" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" != 0 ] || trouble=false
-exec target/review-driver -case wave -trouble=$trouble -record review/5/record.txt
+exec target/review-driver -case lease -trouble=$trouble -record review/5/record.txt
--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -367,3 +367,48 @@
 		}
 	}
 }
+
+// gone: the worker of a task that lasts is lost for good, and the planner is killed. From 6 s after its
+// last run on, and 4 s after the last disruption, the task must not be without a run for 3 s.
+func gone(d *driver) {
+	const calm, idle, sinceRun = 4 * time.Second, 3 * time.Second, 6 * time.Second
+	d.boot(3, usual(6))
+	id := "00000000b2000001"
+	d.submit(0, tenants[0], queues[1], id, job(int(endless.Milliseconds()), 1, map[string]any{"longRunning": true, "estimateMs": 5000}))
+	time.Sleep(2 * time.Second)
+	all := d.startsOf(id)
+	if len(all) != 1 {
+		d.fatal("the task has not started once")
+	}
+	lost, last := time.Now(), time.Now()
+	if d.trouble {
+		for _, w := range d.workers {
+			if w.id == all[0].worker {
+				w.crash("is lost for good")
+				time.AfterFunc(4500*time.Millisecond, func() { d.store.put("keyed.servers", w.id, nil) })
+			}
+		}
+		time.Sleep(time.Second)
+		v := d.vms[d.store.planner()]
+		v.signal(syscall.SIGKILL)
+		<-v.exited
+		time.Sleep(300 * time.Millisecond)
+		v.start()
+		last = time.Now()
+	}
+	time.Sleep(20 * time.Second)
+	all = d.startsOf(id)
+	if !d.trouble {
+		return
+	}
+	from := last.Add(calm)
+	if x := lost.Add(sinceRun); x.After(from) {
+		from = x
+	}
+	if len(all) < 2 || all[1].at.Sub(from) > idle {
+		d.breaks("LOST: the task had no run until %.1f s after the last disruption, with all other workers free", time.Until(last).Abs().Seconds())
+	}
+	if len(all) > 1 {
+		d.note("the task started again %.1f s after its worker was lost, %.1f s after the planner was started again", all[1].at.Sub(lost).Seconds(), all[1].at.Sub(last).Seconds())
+	}
+}
--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -88,7 +88,7 @@
 	limit := flag.Duration("limit", 118*time.Second, "longest time that the case may run")
 	statusS := flag.Int("status", 120, "status_s in the settings")
 	flag.Parse()
-	cases := map[string]func(*driver){"again": again, "wide": wide, "wave": wave, "lease": lease, "route": route, "terms": terms}
+	cases := map[string]func(*driver){"again": again, "wide": wide, "wave": wave, "lease": lease, "gone": gone, "route": route, "terms": terms}
 	play := cases[*name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
