--- a/review/_driver/cases.go
+++ b/review/_driver/cases.go
@@ -154,7 +154,7 @@
 		d.cloud.late = func(machine string) bool { return sent.IsZero() && machine == d.workers[0].machine }
 	}
 	time.Sleep(4 * time.Second) // a planner orders nothing in its first seconds
-	d.store.put("keyed.op", "wave/1", []byte(`{"wave":1,"machines":["m-000","m-001","m-002"],"durationS":40,"maxCount":1}`))
+	d.store.put(names["operator"], "wave/1", []byte(`{"wave":1,"machines":["m-000","m-001","m-002"],"durationS":40,"maxCount":1}`))
 	d.note("operator writes wave 1 of three machines, at most one at once")
 	if d.trouble {
 		select {
@@ -208,7 +208,7 @@
 	d.boot(3, usual(6))
 	id, old := "00000000f0000001", queues[1]
 	two := job(8000, 1, nil)
-	two["steps"] = append(two["steps"].([]any), map[string]any{"count": 1, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimateMs": 8000, "dependsOn": []int{0}})
+	two["steps"] = append(two["steps"].([]any), map[string]any{"count": 1, "cpu": 1000, names["memory"]: 1000, "gpu": 1, "estimateMs": 8000, "dependsOn": []int{0}})
 	if !d.submit(0, tenants[0], old, id, two) {
 		d.fatal("the job was not accepted")
 	}
@@ -385,7 +385,7 @@
 		for _, w := range d.workers {
 			if w.id == all[0].worker {
 				w.crash("is lost for good")
-				time.AfterFunc(4500*time.Millisecond, func() { d.store.put("keyed.servers", w.id, nil) })
+				time.AfterFunc(4500*time.Millisecond, func() { d.store.put(names["servers"], w.id, nil) })
 			}
 		}
 		time.Sleep(time.Second)
--- a/review/_driver/cloud.go
+++ b/review/_driver/cloud.go
@@ -55,7 +55,7 @@
 		}
 		machines = append(machines, map[string]any{
 			"machine": k.machine, "pool": serviceName, "state": state, "zone": "z1", "labels": k.labels,
-			"headroom": map[string]int{"cpu": 32000, "memMb": 65536, "gpu": 8}, "id": k.id,
+			names["capacity"]: map[string]int{"cpu": 32000, names["memory"]: 65536, "gpu": 8}, "id": k.id,
 		})
 	}
 	reply(w, http.StatusOK, map[string]any{"machines": machines, "nextToken": nil})
--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -225,7 +225,7 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  ts,
 	})
-	d.store.put("keyed.op", "config", b)
+	d.store.put(names["operator"], "config", b)
 	d.note("operator writes configuration %d", version)
 }
 
@@ -330,7 +330,7 @@
 		v.d.fatal("%v", err)
 	}
 	v.cmd = exec.Command(filepath.Join(v.d.root, "target/sesameyoke"), "entry")
-	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SESAMEYOKE_BOOT=" + v.settings}
+	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + v.settings}
 	v.cmd.Stdout, v.cmd.Stderr = log, log
 	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := v.cmd.Start(); err != nil {
@@ -466,7 +466,7 @@
 
 // job returns the body of a job of one step.
 func job(ms, count int, step map[string]any) map[string]any {
-	s := map[string]any{"count": count, "cpu": 1000, "memMb": 1000, "gpu": 1, "estimateMs": ms}
+	s := map[string]any{"count": count, "cpu": 1000, names["memory"]: 1000, "gpu": 1, "estimateMs": ms}
 	for k, v := range step {
 		s[k] = v
 	}
--- a/review/_driver/store.go
+++ b/review/_driver/store.go
@@ -69,9 +69,9 @@
 // handler serves the store to one VM.
 func (s *metaStore) handler(vm int) http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("POST /log-append", func(w http.ResponseWriter, r *http.Request) { s.append(w, r, vm) })
+	m.HandleFunc("POST "+names["append"], func(w http.ResponseWriter, r *http.Request) { s.append(w, r, vm) })
 	m.HandleFunc("GET /log-read", s.read)
-	m.HandleFunc("GET /log-newest", s.list)
+	m.HandleFunc("GET "+names["newest"], s.list)
 
 	return m
 }
@@ -134,7 +134,7 @@
 	}
 	time.Sleep(callDelay)
 	name := r.URL.Query().Get("topic")
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == names["operator"] || name == names["servers"] {
 		reply(w, http.StatusForbidden, map[string]any{})
 
 		return
--- a/review/_driver/worker.go
+++ b/review/_driver/worker.go
@@ -153,10 +153,10 @@
 func (w *worker) publish() {
 	b, _ := json.Marshal(map[string]any{
 		"service": serviceName, "address": w.address, "zone": "z1", "version": "v1", "capacity": 8, "state": "ready", "coldRemainingMs": 0,
-		"headroom": map[string]int{"cpu": 32000, "memMb": 65536, "gpu": 8}, "labels": w.labels, "clockMs": w.clock(), "sequence": 1,
+		names["capacity"]: map[string]int{"cpu": 32000, names["memory"]: 65536, "gpu": 8}, "labels": w.labels, "clockMs": w.clock(), "sequence": 1,
 		"born": w.bornAt.UnixMilli(),
 	})
-	w.d.store.put("keyed.servers", w.id, b)
+	w.d.store.put(names["servers"], w.id, b)
 }
 
 // crash ends the worker's process: its connections are reset and its runs are gone.
@@ -208,16 +208,6 @@
 	w.changed = make(chan struct{})
 }
 
-type orderBody struct {
-	Task         string `json:"task"`
-	RunID        int64  `json:"runId"`
-	Spec         string `json:"spec"`
-	DeadlineMs   int64  `json:"deadlineMs"`
-	FencingToken int64  `json:"fencingToken"`
-	AckCursor    int64  `json:"ackCursor"`
-	WaitMs       int64  `json:"waitMs"`
-}
-
 func (w *worker) handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
@@ -237,8 +227,8 @@
 
 			return
 		}
-		var o orderBody
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		o, err := decodeOrder(r.Body)
+		if err != nil {
 			reply(rw, http.StatusBadRequest, map[string]any{})
 
 			return
@@ -246,7 +236,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		switch {
-		case r.Header.Get("Expected-Instance") != w.id:
+		case r.Header.Get(names["instance"]) != w.id:
 			reply(rw, http.StatusMisdirectedRequest, map[string]any{})
 
 			return
@@ -364,5 +354,5 @@
 	for _, e := range w.ends[:min(len(w.ends), endsAtOnce)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.bornAt.UnixMilli(), "running": running, "endedRuns": ended})
+	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.bornAt.UnixMilli(), "running": running, names["ended"]: ended})
 }
