Completed jobs no longer run again after their records were deleted in part

Cause: a job can be recorded in keyed.jobs by the planner and in keyed.handin by an entry VM. The flag for the second record was lost in a takeover (applyOpen returned for a known job), and a deletion there was tried once only. The job's records in keyed.jobs went all the same, and the next planner took the hand-in for a new job.

Evidence: the scripts deletedhandin and deletedhandinoutage list the keys in the store.

Fix: what keyed.handin has of a job is known again after a takeover. Its hand-in records are deleted first and repeatedly; the others only when that is durable and the topic has been read beyond the deletion, so that a copy appended before it can't be taken for a new job either. A planner lost in between leaves progress without a job; its successor deletes it (deletedremainder), but not if the job's open record is there and unreadable. Cancellations of ended or unknown jobs, which had stayed for good, go the same way. No store call is added for jobs that are not in keyed.handin.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -107,6 +107,7 @@
 		earlyCancels      map[string]earlyCancel       // cancellations of jobs that have not arrived yet, by job
 		unmatchedProgress map[string][]byte            // progress records of jobs whose own record has not been read yet, by job
 		unmatchedCrashes  map[string][]byte            // crash records of these jobs
+		unreadableJobs    map[string]bool              // jobs with an open record that cannot be read
 		unansweredStarts  map[string][]unansweredStart // starts that may still be executed, by worker
 		runTimes          map[string]*runTime          // measured run times, by queue
 		peerRunTimes      map[stepKey][]time.Duration  // projected run times of the current runs, by step
@@ -128,6 +129,9 @@
 		firstListing      *Listing                // first read of the worker list
 		handinOffset      int64                   // next offset to read in HandinTopic
 		handinReadAt      time.Duration           // when the newest successful read of HandinTopic was requested
+		deletingHandins   bool                    // a deletion of hand-in records is in flight
+		deletedHandins    int64                   // end of HandinTopic after the newest deletion of hand-in records
+		deletionRetryAt   time.Duration           // earliest time of the next deletion of hand-in records
 		listedAt          time.Duration           // when the newest successful read of the worker list was requested
 
 		lastPass   time.Duration // duration of the newest pass
@@ -155,6 +159,7 @@
 	earlyCancel struct {
 		workspace string
 		until     time.Duration
+		handin    handinState
 	}
 
 	// job is a job with its progress.
@@ -163,7 +168,7 @@
 		work.Progress
 		durablePhase work.Phase // phase of the newest durable progress record
 		durable      bool       // the job's open record is in the store
-		handedIn     bool       // the open record is in HandinTopic
+		handin       handinState
 		acceptedAt   time.Duration
 		dirty        bool                     // waits for the next append
 		failedOn     map[string]int           // number of failed runs, by worker
@@ -177,7 +182,7 @@
 func New(c Config) *Engine {
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
-		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{},
+		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
 		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -4,12 +4,10 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"sesameyoke/internal/core/work"
-	"sesameyoke/internal/peer/store"
 )
 
 const maxEarlyCancels = 10000 // maximum number of remembered cancellations of unknown jobs
@@ -80,7 +78,9 @@
 	}
 	if j == nil || j.Workspace != workspace {
 		if j == nil && len(e.earlyCancels) < maxEarlyCancels {
-			e.earlyCancels[id] = earlyCancel{workspace: workspace, until: e.SinceBoot() + e.Timing.Retention}
+			early := e.earlyCancels[id] // keeps what is known of hand-in records
+			early.workspace, early.until = workspace, e.SinceBoot()+e.Timing.Retention
+			e.earlyCancels[id] = early
 		}
 		e.mu.Unlock()
 
@@ -104,6 +104,9 @@
 func (e *Engine) applyEarlyCancel(j *job) {
 	if early, ok := e.earlyCancels[j.ID]; ok && early.workspace == j.Workspace {
 		delete(e.earlyCancels, j.ID)
+		if early.handin.cancel {
+			j.handin.noteCancel(early.handin.newest)
+		}
 		e.cancelJob(j, "earlier cancellation")
 	}
 }
@@ -177,8 +180,8 @@
 	return e.ready && e.ctx.Err() == nil
 }
 
-// dropEndedJobs removes ended jobs from the active list, and deletes jobs whose
-// retention period has passed. It also drops expired early cancellations.
+// dropEndedJobs removes ended jobs from the active list, and deletes what has been retained
+// long enough.
 func (e *Engine) dropEndedJobs() {
 	e.dropUnmatched()
 	kept := e.active[:0]
@@ -191,36 +194,7 @@
 	}
 	clear(e.active[len(kept):])
 	e.active = kept
-	now := e.Now()
-	for id, j := range e.jobs {
-		if j.durablePhase.Final() && now.Sub(time.UnixMilli(j.Ended)) > e.Timing.Retention {
-			delete(e.jobs, id)
-			e.writer.drop(j)
-			if j.handedIn || j.Phase == work.Cancelled {
-				e.deleteHandin(id)
-			}
-		}
-	}
-	for id, early := range e.earlyCancels {
-		if e.SinceBoot() > early.until {
-			delete(e.earlyCancels, id)
-		}
-	}
-}
-
-// deleteHandin deletes the records that entry VMs wrote for a job. If that fails, the
-// planner that deletes the job after the next recovery deletes them too.
-func (e *Engine) deleteHandin(id string) {
-	e.background.Go(func() {
-		ctx, cancel := context.WithTimeout(e.ctx, appendTimeout)
-		defer cancel()
-		_, err := e.Store.Append(ctx, store.Append{Topic: HandinTopic, ExpectedEnd: -1, Records: []store.Record{
-			{Key: work.Key(work.OpenRecord, id)}, {Key: work.Key(work.CancelRecord, id)},
-		}})
-		if err != nil {
-			e.Log.Warn().Str("event", "handin-not-dropped").Str("id", id).Err(err).Msg("")
-		}
-	})
+	e.dropExpired()
 }
 
 // sortByArrival sorts jobs by their arrival at an entry VM.
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -151,7 +151,7 @@
 	for _, r := range jobs {
 		switch kind, id := work.ParseKey(r.Key); kind {
 		case work.OpenRecord:
-			e.contain("job record", r.Key, func() { e.applyOpen(r, false) })
+			e.contain("job record", r.Key, func() { e.applyOpen(r) })
 		case work.ProgressRecord:
 			progress[id] = r.Value
 		case work.WaveRecord:
@@ -168,7 +168,7 @@
 	}
 	for _, r := range handins {
 		if kind, _ := work.ParseKey(r.Key); kind == work.OpenRecord {
-			e.contain("hand-in", r.Key, func() { e.applyOpen(r, true) })
+			e.contain("hand-in", r.Key, func() { e.applyOpenHandin(r) })
 		}
 	}
 	for id, b := range progress {
@@ -189,8 +189,8 @@
 	}
 	sortByArrival(e.active)
 	for _, r := range handins {
-		if kind, id := work.ParseKey(r.Key); kind == work.CancelRecord {
-			e.applyCancel(id, string(r.Value))
+		if kind, _ := work.ParseKey(r.Key); kind == work.CancelRecord {
+			e.applyCancel(r)
 		}
 	}
 }
@@ -207,31 +207,53 @@
 }
 
 // applyOpen adds a job from its open record. A known job stays as it is, because records
-// with the same key always have the same content.
-func (e *Engine) applyOpen(r store.Record, handedIn bool) {
+// with the same key always have the same content. It returns nil if the record is unreadable.
+func (e *Engine) applyOpen(r store.Record) *job {
 	_, id := work.ParseKey(r.Key)
-	if e.jobs[id] != nil {
-		return
+	if j := e.jobs[id]; j != nil {
+		j.durable = true
+
+		return j
 	}
 	def, err := work.DecodeJob(r.Value)
 	if err != nil || def.ID != id {
 		e.Log.Error().Str("event", "record-unreadable").Str("id", id).Err(err).Int64("offset", r.Offset).Msg("")
+		e.unreadableJobs[id] = true
 
-		return
+		return nil
 	}
 	age := e.Now().Sub(time.UnixMilli(def.Sent))
-	j := &job{Job: def, durable: true, handedIn: handedIn, acceptedAt: e.SinceBoot() - max(0, age), doneRunTimes: map[occurStep]runTimeSum{}}
+	j := &job{Job: def, durable: true, acceptedAt: e.SinceBoot() - max(0, age), doneRunTimes: map[occurStep]runTimeSum{}}
 	e.jobs[id] = j
 	e.applyEarlyCancel(j)
+
+	return j
+}
+
+// applyOpenHandin adds a job from an open record in HandinTopic. JobsTopic may hold one too.
+func (e *Engine) applyOpenHandin(r store.Record) *job {
+	j := e.applyOpen(r)
+	if j != nil {
+		j.handin.noteOpen(r.Offset)
+	}
+
+	return j
 }
 
 // applyCancel applies a cancellation that an entry VM wrote to the store.
-func (e *Engine) applyCancel(id, workspace string) {
+func (e *Engine) applyCancel(r store.Record) {
+	_, id := work.ParseKey(r.Key)
+	workspace := string(r.Value)
 	j := e.jobs[id]
-	switch {
-	case j == nil:
-		e.earlyCancels[id] = earlyCancel{workspace: workspace, until: e.SinceBoot() + e.Timing.Retention}
-	case j.Workspace == workspace:
+	if j == nil {
+		early := earlyCancel{workspace: workspace, until: e.SinceBoot() + e.Timing.Retention}
+		early.handin.noteCancel(r.Offset)
+		e.earlyCancels[id] = early
+
+		return
+	}
+	j.handin.noteCancel(r.Offset)
+	if j.Workspace == workspace {
 		e.cancelJob(j, "record")
 	}
 }
@@ -287,6 +309,11 @@
 			}
 		}
 	}
+	for id, b := range e.unmatchedProgress {
+		if !e.unreadableJobs[id] {
+			e.dropRemainder(id, b)
+		}
+	}
 	clear(e.unmatchedProgress)
 	clear(e.unmatchedCrashes)
 }
@@ -413,19 +440,15 @@
 	}
 	switch kind {
 	case work.OpenRecord:
-		if j := e.jobs[id]; j != nil {
-			j.durable, j.handedIn = true, true
-		} else {
-			e.applyOpen(r, true)
-			if j := e.jobs[id]; j != nil {
-				e.Log.Info().Str("event", "job-read").Str("id", id).Int64("offset", r.Offset).Msg("")
-				e.active = append(e.active, j)
-				e.restoreUnmatched(j)
-				e.requestPass()
-			}
+		known := e.jobs[id] != nil
+		if j := e.applyOpenHandin(r); j != nil && !known {
+			e.Log.Info().Str("event", "job-read").Str("id", id).Int64("offset", r.Offset).Msg("")
+			e.active = append(e.active, j)
+			e.restoreUnmatched(j)
+			e.requestPass()
 		}
 	case work.CancelRecord:
-		e.applyCancel(id, string(r.Value))
+		e.applyCancel(r)
 	default:
 		e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 	}
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -418,9 +418,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.For("entry", func() {}).Append(ctx, store.Append{
-		Topic: engine.HandinTopic, Records: []store.Record{{Key: key, Value: b}}, ExpectedEnd: -1,
-	})
+
+	return r.writeHandinRecord(ctx, store.Record{Key: key, Value: b})
+}
+
+// writeHandinRecord writes a record to HandinTopic.
+func (r *rig) writeHandinRecord(ctx context.Context, record store.Record) error {
+	_, err := r.store.For("entry", func() {}).Append(ctx, store.Append{Topic: engine.HandinTopic, Records: []store.Record{record}, ExpectedEnd: -1})
 
 	return err
 }
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -15,7 +15,9 @@
 
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/cloud"
+	"sesameyoke/internal/peer/store"
 	"sesameyoke/internal/peer/target"
+	"sesameyoke/internal/run/engine"
 	"sesameyoke/internal/standin/fleet"
 )
 
@@ -92,6 +94,16 @@
 		require.NoError(t, r.writeHandin(context.Background(), work.Key(work.OpenRecord, name), j))
 
 		return "accepted"
+	case "handcancel":
+		require.NoError(t, r.writeHandinRecord(context.Background(), store.Record{Key: work.Key(work.CancelRecord, name), Value: []byte("w")}))
+
+		return "accepted"
+	case "records":
+		return r.jobRecords()
+	case "awaitdeletion": // of all hand-ins
+		for len(r.store.Keys(engine.HandinTopic)) > 0 {
+			time.Sleep(time.Millisecond)
+		}
 	case "pending":
 		return r.pending()
 	case "ticketed":
@@ -148,6 +160,20 @@
 	return ""
 }
 
+// jobRecords lists the keys of the records of jobs that the store holds, by topic.
+func (r *rig) jobRecords() string {
+	var lines []string
+	for _, topic := range []string{engine.HandinTopic, engine.JobsTopic} {
+		for _, key := range r.store.Keys(topic) {
+			if kind, _ := work.ParseKey(key); kind != work.SilentRecord {
+				lines = append(lines, topic+" "+key)
+			}
+		}
+	}
+
+	return strings.Join(lines, "\n")
+}
+
 // addWorkers adds workers with the given number, accelerators and service.
 func (r *rig) addWorkers(t *testing.T, d *datadriven.TestData) {
 	n, rack, accel := 4, 2, 8
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -157,7 +157,7 @@
 // add adds a job's records to the group and returns their size.
 func (g *group) add(j *job) (int, error) {
 	size := 0
-	if !j.durable && !j.handedIn {
+	if !j.durable && !j.handin.open {
 		b, err := work.Encode(j.Job)
 		if err != nil {
 			return 0, errors.Wrapf(err, "job %q", j.ID)
@@ -165,7 +165,7 @@
 		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, j.ID), Value: b})
 		size += len(b)
 	}
-	if len(j.Occurs) > 0 || j.Phase != work.Queued || j.handedIn {
+	if len(j.Occurs) > 0 || j.Phase != work.Queued || j.handin.open {
 		b, err := work.Encode(j.Progress)
 		if err != nil {
 			return 0, errors.Wrapf(err, "progress of job %q", j.ID)
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -95,6 +96,14 @@
 	_, _ = s.apply(store.Append{Topic: topic, ExpectedEnd: -1, Records: []store.Record{{Key: key, Value: value}}})
 }
 
+// Keys returns the sorted keys of a topic's newest records.
+func (s *Store) Keys(name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Sorted(maps.Keys(s.topic(name).newest))
+}
+
 // For returns a store client for one caller. The client calls gate before and after each
 // call; a gate that blocks suspends the caller.
 func (s *Store) For(caller string, gate func()) *store.Store {
