A VM closes its connections to the workers when its term as planner ends

Cause: each term made HTTP transports of its own for workers, hosts and the placement service and left their idle connections open for the life of the process. They filled the workers' 64 connections, and workers reset the calls of the newest planner.

Fix: one transport a term; its idle connections are closed once the engine has ended, when no call is in flight any more.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -130,7 +130,10 @@
 		Successor: func() (string, bool) { return v.entry.Successor() }, Stronger: func() (string, bool) { return v.entry.Stronger() },
 		Offer: peers.OfferLease,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
-			v.plan(ctx, v.engineConfig(st, lease, watcher, waves))
+			// Otherwise the idle connections of each term would stay open and fill the workers' limits.
+			t := platform.NewTransport()
+			defer t.CloseIdleConnections()
+			v.plan(ctx, v.engineConfig(t, st, lease, watcher, waves))
 		},
 	})
 	v.entry = entry.New(entry.Config{
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"time"
 
 	"sesameyoke/internal/core/policy"
@@ -27,11 +28,13 @@
 	minCalls            = 24                      // lower limit of the concurrent calls, for VMs with few cores
 )
 
-func (v *vm) engineConfig(st *store.Store, l *lead.Lease, watcher *entry.ConfigWatcher, w *platform.Waves) engine.Config {
+// engineConfig returns the configuration of the engine for one term as planner, which uses the
+// connections of t.
+func (v *vm) engineConfig(t *http.Transport, st *store.Store, l *lead.Lease, watcher *entry.ConfigWatcher, w *platform.Waves) engine.Config {
 	d := &platform.Discovery{Store: st, Log: v.log}
 	c := engine.Config{
 		Name:  v.entry.Name,
-		Store: st, Workers: platform.NewWorkers(v.log), Lease: l,
+		Store: st, Workers: platform.NewWorkers(t, v.log), Lease: l,
 		Timing: engine.Timing{
 			WorkerLease: min(workerLease, v.settings.MaxWorkerLease), MaxLease: v.settings.MaxWorkerLease, PredecessorValidity: leaseValidity - deadHolderTimeout, ReportWait: reportWait,
 			OrderTimeout: orderTimeout, StartTimeout: startTimeout, DiscoverInterval: discoverInterval,
@@ -43,10 +46,10 @@
 		MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
 		SinceBoot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes,
-		Advise:   platform.NewPlacementAdvisor(v.settings.PlacementService),
+		Advise:   platform.NewPlacementAdvisor(v.settings.PlacementService, t),
 	}
 	if v.settings.Cloud != "" {
-		c.Cloud = platform.NewCloud(v.settings.Cloud, st, w)
+		c.Cloud = platform.NewCloud(v.settings.Cloud, t, st, w)
 	}
 
 	return c
