Late orders to a restarted worker are counted in its lease

Cause: when a planner notices that a worker has restarted, deadlines on the clock before mean nothing, and it counted the new lease as valid for the longest time a worker accepts, from that moment.

Fix: a worker's record holds when the newest unanswered order with a deadline was sent. After a restart the lease doesn't count as expired while such an order may be executed and for the longest lease after that, at most until the new clock has reached the deadline. Answers that come after the restart was noticed extend it too. An order can't reach an incarnation that started after the order was written to its connection (target.OnSent), so what a crash left unanswered delays nothing.

Open, in docs/FAULTS.md: the next planner doesn't know of its predecessor's unanswered orders.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -77,7 +77,7 @@
 func (e *Engine) updateWorker(t target.Worker) {
 	w := e.workers[t.ID]
 	if w == nil {
-		w = newWorker(t)
+		w = e.newWorker(t)
 		w.listed, w.staysUntil = true, e.SinceBoot()+t.TimeToLeave
 		w.expiredBy = e.predecessorExpiry(w)
 		e.stopUnansweredStarts(w)
@@ -110,9 +110,10 @@
 	}
 	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation {
 		e.handleRestart(w, t.Incarnation, draining)
+		w.noteStart(e.SinceBoot() - e.Now().Sub(time.UnixMilli(t.Incarnation)) - maxClockSkew)
 		// The new incarnation has not seen this planner's token yet. A lease renewal tells
 		// it the token, so that it rejects orders that the previous planner may still send.
-		w.reported, w.expiredBy = false, w.notExpiredBefore
+		w.reported, w.expiredBy = false, w.validUntilAtLeast()
 		w.clock, w.clockAt = 0, e.SinceBoot() // its clock is not known
 	}
 	if w.Host != "" {
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -333,7 +333,7 @@
 	}
 	w := e.workers[t.Worker]
 	if w == nil {
-		w = newWorker(target.Worker{ID: t.Worker, Incarnation: t.Incarnation})
+		w = e.newWorker(target.Worker{ID: t.Worker, Incarnation: t.Incarnation})
 		w.expiredBy = e.predecessorExpiry(w)
 		e.workers[w.ID] = w
 		e.startSession(w)
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,10 +31,18 @@
 	overloadGraceDivisor = 2
 )
 
-// sentOrder tells when an order was sent, and the worker's incarnation that was known then.
+// sentOrder tells when an order was sent, and the worker's incarnation that was known then, on
+// whose clock the order's deadline is.
 type sentOrder struct {
 	at          time.Duration
 	incarnation int64
+	deadline    int64 // 0 if it has none
+}
+
+// recipient is a worker in the incarnation that is known when an order is prepared for it.
+type recipient struct {
+	target.Address
+	incarnation int64
 }
 
 // startSession starts the goroutine that renews a worker's lease and reads its reports.
@@ -74,29 +83,29 @@
 
 // nextRenewal returns the next lease renewal for a worker, which also asks for a report, and
 // whether one is due now.
-func (e *Engine) nextRenewal(w *worker) (target.LeaseRenewal, target.Address, bool) {
+func (e *Engine) nextRenewal(w *worker) (target.LeaseRenewal, recipient, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	renewal := target.LeaseRenewal{Token: e.Lease.Token, Acked: w.durableEnd, Wait: e.Timing.ReportWait}
 	if w.Host == "" {
 		e.expireLease(w)
 
-		return renewal, target.Address{}, false
+		return renewal, recipient{}, false
 	}
 	if w.admitting {
-		return renewal, target.Address{}, false
+		return renewal, recipient{}, false
 	}
 	if !w.reported {
 		renewal.Wait = 0
 
-		return renewal, w.address(), true
+		return renewal, w.recipient(), true
 	}
 	if len(w.runs) == 0 && w.durableEnd <= w.ackedEnd && !w.probeDue(e.SinceBoot()) {
-		return renewal, target.Address{}, false
+		return renewal, recipient{}, false
 	}
 	if w.seenEnd > w.durableEnd { // these ends cannot be acknowledged yet, so the worker would report them again at once
 		if len(w.runs) == 0 || e.SinceBoot()-w.clockAt < pendingEndsPause {
-			return renewal, target.Address{}, false
+			return renewal, recipient{}, false
 		}
 		renewal.Wait = 0
 	}
@@ -114,11 +123,11 @@
 		}
 	}
 
-	return renewal, w.address(), true
+	return renewal, w.recipient(), true
 }
 
 // sendRenewal sends a lease renewal and processes the outcome.
-func (e *Engine) sendRenewal(w *worker, to target.Address, renewal target.LeaseRenewal) {
+func (e *Engine) sendRenewal(w *worker, to recipient, renewal target.LeaseRenewal) {
 	if renewal.Wait == 0 {
 		if !e.calls.acquire(e.ctx.Done()) {
 			return
@@ -128,12 +137,14 @@
 	ctx, cancel := context.WithTimeout(e.ctx, renewal.Wait+renewalSlack)
 	defer cancel()
 	sent := e.SinceBoot()
-	r, err := e.Workers.RenewLease(ctx, to, renewal)
+	ctx, sentBy := e.traceSending(ctx)
+	r, err := e.Workers.RenewLease(ctx, to.Address, renewal)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if w.removed || e.ctx.Err() != nil {
 		return
 	}
+	w.noteOutcome(!errors.Is(err, target.ErrUnknown), sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline}, e.SinceBoot())
 	if err == nil {
 		e.contain("report", w.ID, func() { e.handleReport(w, renewal, r, sent) })
 
@@ -142,6 +153,21 @@
 	e.handleNoReport(w, sent, ctx.Err() != nil, err)
 }
 
+// traceSending returns a context for a call to a worker, and a function that returns after the call
+// by when it had been sent.
+func (e *Engine) traceSending(ctx context.Context) (context.Context, func() time.Duration) {
+	var sent atomic.Int64
+	ctx = target.OnSent(ctx, func() { sent.Store(int64(e.SinceBoot())) })
+
+	return ctx, func() time.Duration {
+		if at := sent.Load(); at != 0 {
+			return time.Duration(at)
+		}
+
+		return e.SinceBoot()
+	}
+}
+
 // handleNoReport handles a lease renewal that returned no report, in time or at all. The caller holds mu, which
 // is released during the pause before the next request.
 func (e *Engine) handleNoReport(w *worker, sent time.Duration, timedOut bool, err error) {
@@ -215,6 +241,7 @@
 		w.silentSince = 0
 	}
 	w.setClock(r.Clock, e.SinceBoot())
+	w.noteClock(r.Clock, sent)
 	e.admitReports(w)
 	w.ackedEnd = max(w.ackedEnd, renewal.Acked)
 	inReport := map[*member]bool{}
@@ -247,7 +274,9 @@
 	case clock >= w.clock:
 		w.setClock(clock, now)
 	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds():
-		w.notExpiredBefore = max(w.notExpiredBefore, now+e.maxLease())
+		w.clockRestarted = true
+		w.voidDeadlines(now)
+		w.noteClock(clock, order.at)
 	}
 }
 
@@ -257,7 +286,7 @@
 func (e *Engine) handleRestart(w *worker, incarnation int64, draining bool) {
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", w.Incarnation).Int("runs", len(w.runs)).Msg("")
 	e.handleLoss(w, e.restartCause(w, draining), incarnation)
-	w.resetIncarnation(incarnation, e.SinceBoot()+e.maxLease())
+	w.resetIncarnation(incarnation, e.SinceBoot())
 	for _, m := range w.members() {
 		// An unanswered start may still reach the new incarnation. Only a stop that this
 		// incarnation answers rules that out. For all other runs, its report shows whether
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -26,8 +26,9 @@
 	clock   int64
 	err     error
 	order   sentOrder
-	unsent  bool // the order was not sent
-	retried bool // the order was sent more than once, and an attempt got no answer
+	sentBy  time.Duration // by when the newest attempt had been sent
+	unsent  bool          // the order was not sent
+	retried bool          // the order was sent more than once, and an attempt got no answer
 }
 
 // queueStart queues the start of a planned member whose assignment is durable.
@@ -66,7 +67,7 @@
 		Task: m.task(), Run: u.run, Spec: u.job.Spec, Token: e.Lease.Token, Saved: m.resumedFrom, Ticket: m.ticket,
 		Deadline: w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease),
 	}
-	to, incarnation := w.address(), w.Incarnation
+	to := w.recipient()
 	e.background.Go(func() {
 		if !e.Lease.Valid() {
 			e.handleStartAnswer(m, startAnswer{unsent: true})
@@ -74,8 +75,8 @@
 			return
 		}
 		sent := e.SinceBoot()
-		a := e.startWithRetry(to, order)
-		a.order = sentOrder{at: sent, incarnation: incarnation}
+		a := e.startWithRetry(to.Address, order)
+		a.order = sentOrder{at: sent, incarnation: to.incarnation, deadline: order.Deadline}
 		e.Observe("start_seconds", e.SinceBoot()-sent)
 		e.handleStartAnswer(m, a)
 	})
@@ -86,6 +87,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts.inFlight--
+	if !a.unsent {
+		e.noteStart(m.worker, a)
+	}
 	switch {
 	case a.unsent:
 		m.phase = planned
@@ -103,14 +107,24 @@
 	e.sendStarts()
 }
 
+// noteStart notes the outcome of a start for the worker's lease. Attempts without an answer may
+// still be executed, even if another one was answered.
+func (e *Engine) noteStart(w *worker, a startAnswer) {
+	o := sentOrder{at: a.sentBy, incarnation: a.order.incarnation, deadline: a.order.deadline}
+	w.noteOutcome(!errors.Is(a.err, target.ErrUnknown), o, e.SinceBoot())
+	if a.retried {
+		w.noteOutcome(false, o, e.SinceBoot())
+	}
+}
+
 // startWithRetry sends a start and retries it if this VM was probably too slow to
 // receive the answer. Retries are safe because starts are idempotent.
 func (e *Engine) startWithRetry(to target.Address, order target.Start) startAnswer {
 	var a startAnswer
 	for range maxStartAttempts {
-		retried := a.err != nil
+		retried, sentBy := a.err != nil, a.sentBy
 		a = e.tryStart(to, order)
-		a.retried = retried
+		a.retried, a.sentBy = retried, max(sentBy, a.sentBy)
 		if !errors.Is(a.err, target.ErrUnknown) || !e.overloaded() || !e.Lease.Valid() {
 			break
 		}
@@ -126,8 +140,9 @@
 	defer cancel()
 	answers := make(chan startAnswer, 1)
 	e.background.Go(func() {
+		ctx, sentBy := e.traceSending(ctx)
 		clock, err := e.Workers.Start(ctx, to, order)
-		answers <- startAnswer{clock: clock, err: err}
+		answers <- startAnswer{clock: clock, err: err, sentBy: sentBy()}
 	})
 	probe := time.NewTimer(e.Timing.StartTimeout / probeDivisor)
 	defer probe.Stop()
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -14,12 +14,16 @@
 	minClockRate = 0.98                   // lowest rate of a worker's clock relative to this VM's
 	clockMargin  = 300 * time.Millisecond // added to the estimate of when a worker's lease has expired
 
+	maxClockSkew = 3 * time.Second // largest difference between the times of day of two machines
+
 	probeInterval = 600 * time.Millisecond // between requests to a silent worker without runs
 )
 
 // worker is the planner's view of one worker in its current incarnation.
 type worker struct {
 	target.Worker
+	maxLease          time.Duration           // longest time for which a lease that it accepts now can be valid
+	lateOrderWindow   time.Duration           // how long an unanswered order may still be executed
 	listed            bool                    // is in the worker list
 	reported          bool                    // has reported under this planner lease
 	admitting         bool                    // has reported, and its entry in the silent record is being removed
@@ -32,6 +36,12 @@
 	deadline          int64                   // latest lease deadline sent, on the worker's clock
 	expiredBy         time.Duration           // by then, runs started under earlier planner leases have ended even if the worker never reports
 	notExpiredBefore  time.Duration           // the lease does not count as expired before this time
+	unansweredAt      time.Duration           // when the newest unanswered order with a deadline had been sent; 0 if there is none
+	staleAt           time.Duration           // the same for orders with a deadline on the clock of an earlier incarnation
+	staleDeadline     int64                   // latest deadline of these orders, on whichever clock
+	staleExpiry       time.Duration           // by then, the clock of the newest incarnation has reached that deadline
+	startedAfter      time.Duration           // its newest incarnation has not started before; 0 if that is not known
+	clockRestarted    bool                    // its clock has begun anew, but the new incarnation is not known yet
 	seenEnd           int64                   // highest number of a processed run end
 	durableEnd        int64                   // all run ends up to this number are durable
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
@@ -52,8 +62,9 @@
 	failures        straggler.FailureRecord // recent failures of runs on the worker
 }
 
-func newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+// newWorker returns a worker that has not reported yet.
+func (e *Engine) newWorker(w target.Worker) *worker {
+	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
@@ -62,6 +73,10 @@
 	return (need.CPU > 0 && w.free.CPU < 0) || (need.Memory > 0 && w.free.Memory < 0) || (need.Accelerators > 0 && w.free.Accelerators < 0)
 }
 
+func (w *worker) recipient() recipient {
+	return recipient{Address: w.address(), incarnation: w.Incarnation}
+}
+
 func (w *worker) address() target.Address { return target.Address{ID: w.ID, Host: w.Host} }
 
 // wakeSession makes the worker's session examine at once whether a lease renewal is due.
@@ -100,12 +115,12 @@
 // leaseExpired reports whether the worker's lease must have expired, so that all its
 // runs have ended.
 func (w *worker) leaseExpired(boot time.Duration) bool {
+	if boot < w.validUntilAtLeast() {
+		return false
+	}
 	if !w.reported {
 		return w.expiredBy != 0 && boot > w.expiredBy
 	}
-	if boot < w.notExpiredBefore {
-		return false
-	}
 	left := time.Duration(float64(w.deadline-w.clock)/minClockRate) * time.Millisecond
 
 	return boot > w.clockAt+left+clockMargin
@@ -157,10 +172,70 @@
 	}
 }
 
-// resetIncarnation discards the state of the previous incarnation. Orders in flight may still
-// reach the new one and extend its lease, which counts as valid until notBefore.
-func (w *worker) resetIncarnation(incarnation int64, notBefore time.Duration) {
-	w.Incarnation, w.notExpiredBefore = incarnation, notBefore
+// validUntilAtLeast returns the time before which the lease does not count as expired, because of
+// orders with deadlines on the clock of an earlier incarnation. One without an answer may be
+// executed late, and gives the worker the longest lease that it accepts, but none beyond the
+// deadline.
+func (w *worker) validUntilAtLeast() time.Duration {
+	if w.staleAt == 0 {
+		return w.notExpiredBefore
+	}
+
+	return max(w.notExpiredBefore, min(w.staleExpiry, w.staleAt+w.lateOrderWindow+w.maxLease))
+}
+
+// noteOutcome notes that an order, which had been sent at the latest at its time, has been answered
+// or not. If the worker has restarted meanwhile, the order has perhaps extended the lease of the
+// new incarnation, and without an answer it still may.
+func (w *worker) noteOutcome(answered bool, o sentOrder, now time.Duration) {
+	restarted := w.Incarnation != o.incarnation || w.clockRestarted
+	switch {
+	case o.deadline == 0:
+	case restarted && answered:
+		w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
+	case restarted && o.at >= w.startedAfter:
+		w.noteStale(o.at, o.deadline, now)
+	case !answered:
+		w.unansweredAt = max(w.unansweredAt, o.at)
+	}
+}
+
+// voidDeadlines is called when the worker's clock has begun anew. Orders with deadlines on the clock
+// before may have given it the longest lease that it accepts.
+func (w *worker) voidDeadlines(now time.Duration) {
+	w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
+	w.noteStale(w.unansweredAt, w.deadline, now)
+	w.unansweredAt = 0
+}
+
+// noteStale notes that unanswered orders, the newest of which had been sent at a time, have
+// deadlines on the clock of an earlier incarnation. The newest incarnation has started before now.
+func (w *worker) noteStale(at time.Duration, deadline int64, now time.Duration) {
+	w.staleAt = max(w.staleAt, at)
+	w.staleDeadline = max(w.staleDeadline, deadline)
+	w.staleExpiry = now + time.Duration(float64(w.staleDeadline)/minClockRate)*time.Millisecond + clockMargin
+}
+
+// noteClock notes the clock value of the newest incarnation in the answer to a call that was sent
+// at a time.
+func (w *worker) noteClock(clock int64, sent time.Duration) {
+	w.noteStart(sent - time.Duration(float64(clock)/minClockRate)*time.Millisecond)
+}
+
+// noteStart notes the earliest time at which the newest incarnation can have started. Orders that
+// had been sent before cannot have reached it.
+func (w *worker) noteStart(earliest time.Duration) {
+	w.startedAfter = max(w.startedAfter, earliest)
+	if w.staleAt < w.startedAfter {
+		w.staleAt, w.staleDeadline = 0, 0
+	}
+}
+
+// resetIncarnation discards the state of the previous incarnation.
+func (w *worker) resetIncarnation(incarnation int64, now time.Duration) {
+	w.Incarnation = incarnation
+	w.voidDeadlines(now)
+	w.clockRestarted = false
 	w.seenEnd, w.durableEnd, w.ackedEnd = 0, 0, 0
 	w.deadline = 0
 	w.failures = straggler.FailureRecord{}
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"time"
@@ -317,6 +318,9 @@
 	if err := sleep(ctx, callLatency); err != nil {
 		return nil, errors.Wrap(target.ErrUnknown, "no reply in time")
 	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.WroteRequest != nil {
+		trace.WroteRequest(httptrace.WroteRequestInfo{})
+	}
 	f.mu.Lock()
 	w := f.workers[a.ID]
 	unreachable := w == nil || !f.current(a.ID).up || w.cutOff || w.cutOffCallers[caller]
