What a job needs of its queue is kept in the store

Cause: service, priority and attempts of a queue are in the configuration. Of a queue that was removed, the planner kept what it had known in memory only; its successor asked for workers of the service "". The same held for a job handed in before any planner had read it, and for one whose queue the planner's configuration didn't have yet, or no longer.

Fix: a record q/NAME holds the newest known configuration of a queue with jobs, with the version. The planner writes it in the append of a job, so that no call is added; entry VMs write it beside jobs that they hand in through the store; a planner that doesn't know a job's queue refuses the job, without effect, so that it comes that way. The newer of configuration and record counts. The record is deleted when the queue is gone from the configuration and has had no jobs for the retention period. What is to be deleted is searched every 0.25 s instead of in each pass.

--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -16,6 +16,7 @@
 	wavePrefix     = "w/"
 	silentPrefix   = "silent/"
 	crashPrefix    = "x/"
+	queuePrefix    = "q/"
 )
 
 // Kinds of record.
@@ -26,16 +27,17 @@
 	WaveRecord                     // progress of a maintenance wave; written only by the planner
 	SilentRecord                   // workers without a recent lease; written only by the planner
 	CrashRecord                    // crashes of workers under the job's tasks; written only by the planner
+	QueueRecord                    // what jobs need to know of their queue, by the queue's name
 )
 
 // Kind is the kind of a record.
 type Kind int
 
 var keyPrefixes = map[Kind]string{
-	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix,
+	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix, QueueRecord: queuePrefix,
 }
 
-// Key returns the key of a job's record.
+// Key returns the key of a record of a job or a queue.
 func Key(k Kind, id string) string { return keyPrefixes[k] + id }
 
 // WaveKey returns the key of a maintenance wave's record.
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 )
 
+// MaxKeyBytes is the length of the longest key of a record.
+const MaxKeyBytes = 255
+
 var (
 	// ErrRefused means that the store did not execute the call.
 	ErrRefused = errors.New("store refused the call")
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -35,6 +35,9 @@
 	ErrNotPlanning = errors.New("this VM does not plan")
 	// ErrStopped means that the planner stopped before the outcome of a write was known.
 	ErrStopped = errors.New("planner has stopped")
+	// ErrUnknownQueue means that the planner does not know the job's queue yet. The call had no
+	// effect; the job can be written to HandinTopic with a record of its queue.
+	ErrUnknownQueue = errors.New("queue is not known to the planner")
 	// ErrUnknownJob means that the job does not exist in the caller's workspace.
 	ErrUnknownJob = errors.New("job is not known")
 )
@@ -103,7 +106,7 @@
 		workers           map[string]*worker
 		units             map[string]*unit             // units with unreleased runs, by name
 		claims            map[string]claim             // claims of units on workers, by worker
-		queues            map[string]policy.Queue      // last known configuration of the queues, by name
+		queues            map[string]*knownQueue       // by name
 		earlyCancels      map[string]earlyCancel       // cancellations of jobs that have not arrived yet, by job
 		unmatchedProgress map[string][]byte            // progress records of jobs whose own record has not been read yet, by job
 		unmatchedCrashes  map[string][]byte            // crash records of these jobs
@@ -129,6 +132,7 @@
 		firstListing      *Listing                // first read of the worker list
 		handinOffset      int64                   // next offset to read in HandinTopic
 		handinReadAt      time.Duration           // when the newest successful read of HandinTopic was requested
+		expiryCheckedAt   time.Duration           // when jobs and queues were last searched for what is to be deleted
 		deletingHandins   bool                    // a deletion of hand-in records is in flight
 		deletedHandins    int64                   // end of HandinTopic after the newest deletion of hand-in records
 		deletionRetryAt   time.Duration           // earliest time of the next deletion of hand-in records
@@ -182,7 +186,7 @@
 func New(c Config) *Engine {
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
-		claims: map[string]claim{}, queues: map[string]policy.Queue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
+		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
 		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
@@ -261,17 +265,3 @@
 	e.Log.Warn().Str("event", "fenced").Str("by", by).Int64("token", e.Lease.Token).Msg("")
 	e.Lease.Invalidate()
 }
-
-// queuePolicy returns the newest known configuration of a queue, also after the queue has been
-// removed from the configuration.
-func (e *Engine) queuePolicy(name string) policy.Queue {
-	if p := e.Policy(); p != nil {
-		if q := p.Queue(name); q != nil {
-			e.queues[name] = *q
-
-			return *q
-		}
-	}
-
-	return e.queues[name]
-}
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -13,7 +13,7 @@
 const maxEarlyCancels = 10000 // maximum number of remembered cancellations of unknown jobs
 
 // Submit adds a job and returns when it is durable. After an error other than
-// ErrNotPlanning it is unknown whether the job is accepted.
+// ErrNotPlanning and ErrUnknownQueue it is unknown whether the job is accepted.
 func (e *Engine) Submit(ctx context.Context, def work.Job) error {
 	e.mu.Lock()
 	if e.ctx == nil || e.ctx.Err() != nil || !e.ready {
@@ -22,6 +22,12 @@
 		return ErrNotPlanning
 	}
 	j := e.jobs[def.ID]
+	if j == nil && !e.knowsQueue(def.Queue) {
+		e.mu.Unlock()
+		e.Log.Warn().Str("event", "queue-unknown").Str("id", def.ID).Str("queue", def.Queue).Msg("")
+
+		return ErrUnknownQueue
+	}
 	if j == nil {
 		j = e.addJob(def)
 		e.Log.Info().Str("event", "job-taken").Str("id", def.ID).Str("queue", def.Queue).Str("workspace", def.Workspace).
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -35,6 +35,7 @@
 	e.dropEndedJobs()
 	e.moveRuns()
 	e.addDueOccurrences()
+	e.recordQueues()
 	e.logUnsettled()
 	cands := e.candidates()
 	e.noteIdle(cands)
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -150,26 +150,16 @@
 	progress, crashes := map[string][]byte{}, map[string][]byte{}
 	for _, r := range jobs {
 		switch kind, id := work.ParseKey(r.Key); kind {
-		case work.OpenRecord:
-			e.contain("job record", r.Key, func() { e.applyOpen(r) })
 		case work.ProgressRecord:
 			progress[id] = r.Value
-		case work.WaveRecord:
-			if n, err := strconv.Atoi(id); err == nil {
-				e.restoreWave(n, r.Value)
-			}
-		case work.SilentRecord:
-			e.loadSilent(r.Value)
 		case work.CrashRecord:
 			crashes[id] = r.Value
 		default:
-			e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
+			e.contain("record", r.Key, func() { e.applyRecord(r) })
 		}
 	}
 	for _, r := range handins {
-		if kind, _ := work.ParseKey(r.Key); kind == work.OpenRecord {
-			e.contain("hand-in", r.Key, func() { e.applyOpenHandin(r) })
-		}
+		e.contain("hand-in", r.Key, func() { e.rebuildHandin(r) })
 	}
 	for id, b := range progress {
 		j := e.jobs[id]
@@ -195,6 +185,34 @@
 	}
 }
 
+// applyRecord applies a record of JobsTopic that does not need the job's open record before.
+func (e *Engine) applyRecord(r store.Record) {
+	switch kind, id := work.ParseKey(r.Key); kind {
+	case work.OpenRecord:
+		e.applyOpen(r)
+	case work.WaveRecord:
+		if n, err := strconv.Atoi(id); err == nil {
+			e.restoreWave(n, r.Value)
+		}
+	case work.SilentRecord:
+		e.loadSilent(r.Value)
+	case work.QueueRecord:
+		e.applyQueueJobs(r)
+	default:
+		e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
+	}
+}
+
+// rebuildHandin applies a job or queue from HandinTopic. Cancellations follow when all jobs are known.
+func (e *Engine) rebuildHandin(r store.Record) {
+	switch kind, _ := work.ParseKey(r.Key); kind {
+	case work.OpenRecord:
+		e.applyOpenHandin(r)
+	case work.QueueRecord:
+		e.applyQueueHandin(r)
+	}
+}
+
 // applyProgress applies the progress record that a previous planner wrote for a job.
 func (e *Engine) applyProgress(j *job, b []byte) {
 	p, err := work.DecodeProgress(b, &j.Job)
@@ -449,6 +467,8 @@
 		}
 	case work.CancelRecord:
 		e.applyCancel(r)
+	case work.QueueRecord:
+		e.applyQueueHandin(r)
 	default:
 		e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 	}
--- a/internal/run/engine/retention.go
+++ b/internal/run/engine/retention.go
@@ -11,9 +11,11 @@
 )
 
 const (
+	// Shortest interval between searches for what is to be deleted.
+	expiryInterval = 250 * time.Millisecond
 	// Pause before hand-in records are deleted again after a failed attempt.
 	deletionRetryPause = 2 * time.Second
-	// Maximum number of jobs whose hand-in records are deleted by one append.
+	// Maximum number of jobs and queues whose hand-in records are deleted by one append.
 	maxDeletions = 1000
 )
 
@@ -25,6 +27,12 @@
 	newest int64 // offset of the newest record that was read
 }
 
+// handinDeletion is a deletion of records in HandinTopic.
+type handinDeletion struct {
+	keys []string
+	done func(end int64) // called under the engine's lock when it is durable, with the end of the topic then
+}
+
 // present reports whether HandinTopic holds a record of the job.
 func (h handinState) present() bool { return h.open || h.cancel }
 
@@ -44,15 +52,16 @@
 // dropExpired deletes the records of jobs and of early cancellations whose retention period
 // has passed. It waits while hand-ins may exist that this planner has not read.
 func (e *Engine) dropExpired() {
-	if !e.handinsCurrent() || e.handinOffset < e.deletedHandins {
+	if e.SinceBoot() < e.expiryCheckedAt+expiryInterval || !e.handinsCurrent() || e.handinOffset < e.deletedHandins {
 		return
 	}
-	var handins []string
+	e.expiryCheckedAt = e.SinceBoot()
+	deletions := e.dropUnusedQueues()
 	for id, j := range e.jobs {
 		switch {
 		case !e.expired(j.Progress) || !j.durablePhase.Final():
 		case j.handin.present():
-			handins = append(handins, id)
+			deletions = append(deletions, e.jobDeletion(id))
 		default:
 			delete(e.jobs, id)
 			e.writer.drop(j)
@@ -62,12 +71,12 @@
 		switch {
 		case e.SinceBoot() <= early.until:
 		case early.handin.present():
-			handins = append(handins, id)
+			deletions = append(deletions, e.jobDeletion(id))
 		default:
 			delete(e.earlyCancels, id)
 		}
 	}
-	e.deleteHandins(handins)
+	e.deleteHandins(deletions)
 }
 
 // expired reports whether the retention period of a job has passed.
@@ -75,40 +84,49 @@
 	return p.Phase.Final() && e.Now().Sub(time.UnixMilli(p.Ended)) > e.Timing.Retention
 }
 
-// deleteHandins deletes the records that entry VMs wrote for some jobs, unless a deletion is in
-// flight or has failed recently. A later pass deletes the rest.
-func (e *Engine) deleteHandins(ids []string) {
-	if len(ids) == 0 || e.deletingHandins || e.SinceBoot() < e.deletionRetryAt {
+// jobDeletion returns the deletion of the hand-in records of a job.
+func (e *Engine) jobDeletion(id string) handinDeletion {
+	return handinDeletion{
+		keys: []string{work.Key(work.OpenRecord, id), work.Key(work.CancelRecord, id)},
+		done: func(end int64) { e.noteDeletion(id, end) },
+	}
+}
+
+// deleteHandins deletes records that entry VMs wrote, unless a deletion is in flight or has failed
+// recently. A later pass deletes the rest.
+func (e *Engine) deleteHandins(all []handinDeletion) {
+	if len(all) == 0 || e.deletingHandins || e.SinceBoot() < e.deletionRetryAt {
 		return
 	}
-	ids = ids[:min(len(ids), maxDeletions)]
+	all = all[:min(len(all), maxDeletions)]
 	e.deletingHandins = true
 	e.background.Go(func() {
-		end, err := e.appendDeletions(ids)
+		end, err := e.appendDeletions(all)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.deletingHandins = false
 		if err != nil {
 			e.deletionRetryAt = e.SinceBoot() + deletionRetryPause
-			e.Log.Warn().Str("event", "handins-not-deleted").Int("jobs", len(ids)).Err(err).Msg("")
+			e.Log.Warn().Str("event", "handins-not-deleted").Int("deletions", len(all)).Err(err).Msg("")
 
 			return
 		}
 		e.deletedHandins = max(e.deletedHandins, end)
-		for _, id := range ids {
-			e.noteDeletion(id, end)
+		for _, d := range all {
+			d.done(end)
 		}
 	})
 }
 
-// appendDeletions deletes the hand-in records of some jobs and returns the end of HandinTopic
-// after that.
-func (e *Engine) appendDeletions(ids []string) (int64, error) {
+// appendDeletions deletes records from HandinTopic and returns its end after that.
+func (e *Engine) appendDeletions(all []handinDeletion) (int64, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, appendTimeout)
 	defer cancel()
 	a := store.Append{Topic: HandinTopic, ExpectedEnd: -1}
-	for _, id := range ids {
-		a.Records = append(a.Records, store.Record{Key: work.Key(work.OpenRecord, id)}, store.Record{Key: work.Key(work.CancelRecord, id)})
+	for _, d := range all {
+		for _, key := range d.keys {
+			a.Records = append(a.Records, store.Record{Key: key})
+		}
 	}
 
 	return e.Store.Append(ctx, a)
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -138,6 +138,11 @@
 			return g, err
 		}
 		size += n
+		w.e.contain("queue", j.Queue, func() {
+			if r, due := w.e.dueQueueRecord(j.Queue); due {
+				g.records = append(g.records, r)
+			}
+		})
 	}
 	for _, j := range w.dropped {
 		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, j.ID)}, store.Record{Key: work.Key(work.ProgressRecord, j.ID)})
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -74,6 +74,7 @@
 	// Grant is the result of authorizing a call.
 	Grant struct {
 		Queue     *policy.Queue
+		Version   int64 // of the configuration
 		Workspace string
 	}
 )
@@ -118,21 +119,28 @@
 		return Grant{}, code.Unauthorized
 	}
 
-	return Grant{Queue: q, Workspace: w}, code.OK
+	return Grant{Queue: q, Version: p.Version, Workspace: w}, code.OK
 }
 
-// Submit submits a job, retrying until the context ends. It returns code.LogDown, which
-// tells the caller that the job did not run, only if no attempt can have reached the store.
-func (e *Entry) Submit(ctx context.Context, j work.Job) code.Code {
+// Submit submits a job to the granted queue, retrying until the context ends. It returns
+// code.LogDown, which tells the caller that the job did not run, only if no attempt can have
+// reached the store.
+func (e *Entry) Submit(ctx context.Context, g Grant, j work.Job) code.Code {
 	record, err := work.Encode(j)
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Err(err).Msg("")
 
 		return code.BadRequest
 	}
+	handin := []store.Record{{Key: work.Key(work.OpenRecord, j.ID), Value: record}}
+	if queue, err := engine.QueueRecord(*g.Queue, g.Version); err == nil {
+		handin = append(handin, queue)
+	} else { // the planner that reads the job has to know the queue
+		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Str("queue", g.Queue.Name).Err(err).Msg("")
+	}
 	start, uncertain := e.SinceBoot(), false // uncertain: an attempt may have reached the store
 	for ctx.Err() == nil {
-		c := e.submitOnce(ctx, j, record)
+		c := e.submitOnce(ctx, record, handin)
 		if c == code.OK || c == code.BadRequest {
 			return c
 		}
@@ -151,13 +159,13 @@
 
 // submitOnce makes one attempt by way of the planner, then by an append to the store, and
 // if the store refuses, through another VM.
-func (e *Entry) submitOnce(ctx context.Context, j work.Job, record []byte) code.Code {
+func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) code.Code {
 	c := e.plannerSubmit(ctx, record, false)
 	if c == code.OK || c == code.BadRequest {
 		return c
 	}
 	uncertain := c == code.Unknown
-	switch c = e.appendHandin(ctx, store.Record{Key: work.Key(work.OpenRecord, j.ID), Value: record}); c {
+	switch c = e.appendHandin(ctx, handin...); c {
 	case code.OK:
 		return c
 	case code.Unknown:
@@ -175,13 +183,13 @@
 	return code.LogDown
 }
 
-// appendHandin appends a record to HandinTopic, from which the planner reads it, without
-// calling the planner.
-func (e *Entry) appendHandin(ctx context.Context, r store.Record) code.Code {
+// appendHandin appends records to HandinTopic, from which the planner reads them, without
+// calling the planner. The key of the first one is logged.
+func (e *Entry) appendHandin(ctx context.Context, records ...store.Record) code.Code {
 	ctx, cancel := context.WithTimeout(ctx, handinTimeout)
 	defer cancel()
-	_, err := e.Store.Append(ctx, store.Append{Topic: engine.HandinTopic, Records: []store.Record{r}, ExpectedEnd: -1})
-	e.Log.Info().Str("event", "direct-append").Str("key", r.Key).Err(err).Msg("")
+	_, err := e.Store.Append(ctx, store.Append{Topic: engine.HandinTopic, Records: records, ExpectedEnd: -1})
+	e.Log.Info().Str("event", "direct-append").Str("key", records[0].Key).Err(err).Msg("")
 	switch {
 	case err == nil:
 		return code.OK
@@ -221,7 +229,7 @@
 	switch err := g.Submit(ctx, j); {
 	case err == nil:
 		return code.OK
-	case errors.Is(err, engine.ErrNotPlanning):
+	case errors.Is(err, engine.ErrNotPlanning), errors.Is(err, engine.ErrUnknownQueue):
 		return code.NotReady
 	}
 
