Known red: a successor doesn't count its predecessor's unanswered orders

A try was taken back: a successor counted its predecessor's orders as unanswered for runs that are on record under an earlier incarnation than the list has.

--- a/internal/run/engine/lateorder_test.go
+++ b/internal/run/engine/lateorder_test.go
@@ -16,8 +16,10 @@
 	"sesameyoke/internal/run/engine"
 )
 
-// lateOrderSeeds is the number of seeds of TestLateOrderAfterRestart.
-const lateOrderSeeds = 40
+const (
+	lateOrderSeeds    = 40 // seeds of TestLateOrderAfterRestart
+	lateTakeoverSeeds = 40 // seeds of TestLateOrderAfterTakeover
+)
 
 // TestLateOrderAfterRestart restarts a worker, whose clock begins anew, just before it receives
 // the starts of two tasks and a lease renewal. One of these orders gets no answer and is carried
@@ -28,16 +30,40 @@
 	for _, late := range []string{"start", "renewal"} {
 		for seed := range uint64(lateOrderSeeds) {
 			t.Run(fmt.Sprintf("%s/%d", late, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { runLateOrder(t, late, seed) })
+				synctest.Test(t, func(t *testing.T) { runLateOrder(t, late, seed, func(*rig) {}) })
+			})
+		}
+	}
+}
+
+// TestLateOrderAfterTakeover is TestLateOrderAfterRestart with the planner lost when the worker is
+// cut off. It guards against a successor that doesn't count the orders that its predecessor had
+// sent to the worker, some of which may be carried out late.
+func TestLateOrderAfterTakeover(t *testing.T) {
+	for _, late := range []string{"start", "renewal"} {
+		for seed := range uint64(lateTakeoverSeeds) {
+			t.Run(fmt.Sprintf("%s/%d", late, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runLateOrder(t, late, seed, func(r *rig) {
+						r.start("b")
+						r.kill("a")
+					})
+				})
 			})
 		}
 	}
 }
 
-func runLateOrder(t *testing.T, late string, seed uint64) {
+// runLateOrder runs a case, and calls after when the worker has been cut off.
+func runLateOrder(t *testing.T, late string, seed uint64, after func(r *rig)) {
 	rnd := rand.New(rand.NewPCG(seed, 4))
 	r := newRig(t, seed)
-	r.mutation.config = func(c *engine.Config) { c.Workers = r.delayOrder(c.Workers, late, rnd.Float64()) }
+	share := rnd.Float64()
+	r.mutation.config = func(c *engine.Config) {
+		if c.Lease.Token == 1 {
+			c.Workers = r.delayOrder(c.Workers, late, share)
+		}
+	}
 	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 40 * time.Second, target.Done }
 	capacity := work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8}
 	r.fleet.Add("k0", "s", "r0", capacity)
@@ -51,6 +77,7 @@
 	r.fleet.Cut("k0", true)
 	r.fleet.ListLag = nil
 	r.fleet.Add("k1", "s", "r0", capacity)
+	after(r)
 	time.Sleep(60 * time.Second)
 	r.stop()
 	require.Empty(t, r.fleet.Violations())
