The planner's view of a worker's lease moves to lease.go

No change of behaviour: estimateClock, nextDeadline, leaseExpired and what counts late orders stand together; comments of retention.go say that queues have hand-in records too.

--- a/internal/run/engine/retention.go
+++ b/internal/run/engine/retention.go
@@ -19,11 +19,11 @@
 	maxDeletions = 1000
 )
 
-// handinState tells which records HandinTopic holds of a job. They are deleted before the
-// records in JobsTopic: a planner that found only the former would run the job again.
+// handinState tells which records HandinTopic holds of a job or of a queue. They are deleted before
+// those in JobsTopic: a planner that found only a job's hand-in would run the job again.
 type handinState struct {
-	open   bool  // the job's open record
-	cancel bool  // a cancel record
+	open   bool  // the job's open record, or the queue's record
+	cancel bool  // a cancel record of the job
 	newest int64 // offset of the newest record that was read
 }
 
@@ -33,10 +33,10 @@
 	done func(end int64) // called under the engine's lock when it is durable, with the end of the topic then
 }
 
-// present reports whether HandinTopic holds a record of the job.
+// present reports whether HandinTopic holds a record.
 func (h handinState) present() bool { return h.open || h.cancel }
 
-// noteOpen notes that an open record was read at an offset.
+// noteOpen notes that an open record, or that of a queue, was read at an offset.
 func (h *handinState) noteOpen(offset int64) { h.open, h.newest = true, max(h.newest, offset) }
 
 // noteCancel notes that a cancel record was read at an offset.
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -10,14 +10,7 @@
 	"sesameyoke/internal/peer/target"
 )
 
-const (
-	minClockRate = 0.98                   // lowest rate of a worker's clock relative to this VM's
-	clockMargin  = 300 * time.Millisecond // added to the estimate of when a worker's lease has expired
-
-	maxClockSkew = 3 * time.Second // largest difference between the times of day of two machines
-
-	probeInterval = 600 * time.Millisecond // between requests to a silent worker without runs
-)
+const probeInterval = 600 * time.Millisecond // between requests to a silent worker without runs
 
 // worker is the planner's view of one worker in its current incarnation.
 type worker struct {
@@ -87,11 +80,6 @@
 	}
 }
 
-// estimateClock estimates the worker's clock. The estimate is never ahead of that clock.
-func (w *worker) estimateClock(boot time.Duration) int64 {
-	return w.clock + int64(float64((boot-w.clockAt).Milliseconds())*minClockRate)
-}
-
 // probeDue reports whether to request a report from a silent worker although it has no
 // runs, and records the time if so. A silent worker receives no work until it has answered.
 func (w *worker) probeDue(boot time.Duration) bool {
@@ -103,34 +91,6 @@
 	return true
 }
 
-// nextDeadline returns the lease deadline for an order sent now, and remembers the
-// latest one.
-func (w *worker) nextDeadline(boot, lease time.Duration) int64 {
-	d := w.estimateClock(boot) + lease.Milliseconds()
-	w.deadline = max(w.deadline, d)
-
-	return d
-}
-
-// leaseExpired reports whether the worker's lease must have expired, so that all its
-// runs have ended.
-func (w *worker) leaseExpired(boot time.Duration) bool {
-	if boot < w.validUntilAtLeast() {
-		return false
-	}
-	if !w.reported {
-		return w.expiredBy != 0 && boot > w.expiredBy
-	}
-	left := time.Duration(float64(w.deadline-w.clock)/minClockRate) * time.Millisecond
-
-	return boot > w.clockAt+left+clockMargin
-}
-
-// setClock records a clock value received from the worker.
-func (w *worker) setClock(clock int64, boot time.Duration) {
-	w.clock, w.clockAt = clock, boot
-}
-
 func (w *worker) removeRun(m *member) {
 	t := m.task()
 	rest := slices.DeleteFunc(w.runs[t], func(o *member) bool { return o == m })
@@ -172,65 +132,6 @@
 	}
 }
 
-// validUntilAtLeast returns the time before which the lease does not count as expired, because of
-// orders with deadlines on the clock of an earlier incarnation. One without an answer may be
-// executed late, and gives the worker the longest lease that it accepts, but none beyond the
-// deadline.
-func (w *worker) validUntilAtLeast() time.Duration {
-	if w.staleAt == 0 {
-		return w.notExpiredBefore
-	}
-
-	return max(w.notExpiredBefore, min(w.staleExpiry, w.staleAt+w.lateOrderWindow+w.maxLease))
-}
-
-// noteOutcome notes that an order, which had been sent at the latest at its time, has been answered
-// or not. If the worker has restarted meanwhile, the order has perhaps extended the lease of the
-// new incarnation, and without an answer it still may.
-func (w *worker) noteOutcome(answered bool, o sentOrder, now time.Duration) {
-	restarted := w.Incarnation != o.incarnation || w.clockRestarted
-	switch {
-	case o.deadline == 0:
-	case restarted && answered:
-		w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
-	case restarted && o.at >= w.startedAfter:
-		w.noteStale(o.at, o.deadline, now)
-	case !answered:
-		w.unansweredAt = max(w.unansweredAt, o.at)
-	}
-}
-
-// voidDeadlines is called when the worker's clock has begun anew. Orders with deadlines on the clock
-// before may have given it the longest lease that it accepts.
-func (w *worker) voidDeadlines(now time.Duration) {
-	w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
-	w.noteStale(w.unansweredAt, w.deadline, now)
-	w.unansweredAt = 0
-}
-
-// noteStale notes that unanswered orders, the newest of which had been sent at a time, have
-// deadlines on the clock of an earlier incarnation. The newest incarnation has started before now.
-func (w *worker) noteStale(at time.Duration, deadline int64, now time.Duration) {
-	w.staleAt = max(w.staleAt, at)
-	w.staleDeadline = max(w.staleDeadline, deadline)
-	w.staleExpiry = now + time.Duration(float64(w.staleDeadline)/minClockRate)*time.Millisecond + clockMargin
-}
-
-// noteClock notes the clock value of the newest incarnation in the answer to a call that was sent
-// at a time.
-func (w *worker) noteClock(clock int64, sent time.Duration) {
-	w.noteStart(sent - time.Duration(float64(clock)/minClockRate)*time.Millisecond)
-}
-
-// noteStart notes the earliest time at which the newest incarnation can have started. Orders that
-// had been sent before cannot have reached it.
-func (w *worker) noteStart(earliest time.Duration) {
-	w.startedAfter = max(w.startedAfter, earliest)
-	if w.staleAt < w.startedAfter {
-		w.staleAt, w.staleDeadline = 0, 0
-	}
-}
-
 // resetIncarnation discards the state of the previous incarnation.
 func (w *worker) resetIncarnation(incarnation int64, now time.Duration) {
 	w.Incarnation = incarnation
