Log event order-stale: why a restarted worker's lease counts as valid for long

An operator could not tell from the logs why tasks of a worker that had restarted and fallen silent waited for up to 25 s.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -144,7 +144,7 @@
 	if w.removed || e.ctx.Err() != nil {
 		return
 	}
-	w.noteOutcome(!errors.Is(err, target.ErrUnknown), sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline}, e.SinceBoot())
+	e.noteOutcome(w, err, sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline})
 	if err == nil {
 		e.contain("report", w.ID, func() { e.handleReport(w, renewal, r, sent) })
 
@@ -153,6 +153,24 @@
 	e.handleNoReport(w, sent, ctx.Err() != nil, err)
 }
 
+// noteOutcome notes the outcome of an order for the worker's lease.
+func (e *Engine) noteOutcome(w *worker, err error, o sentOrder) {
+	before := w.staleAt
+	w.noteOutcome(!errors.Is(err, target.ErrUnknown), o, e.SinceBoot())
+	if w.staleAt != before {
+		e.logStale(w)
+	}
+}
+
+// logStale logs until when a restarted worker's lease counts as valid because of an unanswered order
+// with a deadline on its earlier clock.
+func (e *Engine) logStale(w *worker) {
+	if w.staleAt != 0 {
+		e.Log.Warn().Str("event", "order-stale").Str("worker", w.ID).Dur("sent", e.SinceBoot()-w.staleAt).Int64("deadline", w.staleDeadline).
+			Dur("leased", w.validUntilAtLeast()-e.SinceBoot()).Msg("")
+	}
+}
+
 // traceSending returns a context for a call to a worker, and a function that returns after the call
 // by when it had been sent.
 func (e *Engine) traceSending(ctx context.Context) (context.Context, func() time.Duration) {
@@ -233,7 +251,8 @@
 	if r.Incarnation != 0 && r.Incarnation < w.Incarnation {
 		return // from an earlier incarnation
 	}
-	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
+	restarted := r.Incarnation != 0 && r.Incarnation != w.Incarnation
+	if restarted {
 		e.handleRestart(w, r.Incarnation, w.Draining) // before the state of the loss is reset
 	}
 	if w.silentSince != 0 {
@@ -242,6 +261,9 @@
 	}
 	w.setClock(r.Clock, e.SinceBoot())
 	w.noteClock(r.Clock, sent)
+	if restarted {
+		e.logStale(w)
+	}
 	e.admitReports(w)
 	w.ackedEnd = max(w.ackedEnd, renewal.Acked)
 	inReport := map[*member]bool{}
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -111,9 +111,9 @@
 // still be executed, even if another one was answered.
 func (e *Engine) noteStart(w *worker, a startAnswer) {
 	o := sentOrder{at: a.sentBy, incarnation: a.order.incarnation, deadline: a.order.deadline}
-	w.noteOutcome(!errors.Is(a.err, target.ErrUnknown), o, e.SinceBoot())
+	e.noteOutcome(w, a.err, o)
 	if a.retried {
-		w.noteOutcome(false, o, e.SinceBoot())
+		e.noteOutcome(w, target.ErrUnknown, o)
 	}
 }
 
