--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector, and judges their output by KNOWN-RED.txt.
+# Runs all tests with the race detector, and judges their output by KNOWN-RED.txt: judge.sh tells
+# a crash of the detector's runtime (SIGSEGV, CHECK failed) from a failed test.
 # On arm64 only, the tests on which the detector's own runtime crashes run without it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
