A run that a full report omits has not ended

Callers saw (TWICE): tasks that were done ran a second time, where many runs of one worker had ended before the planner acknowledged them.

Cause: a worker's report lists 500 ends at most. The planner took each run that a report has neither as running nor as ended for ended by the expiry of the worker's lease, also when the list was cut off, and started it again. The next report brought its end, "done".

Evidence: found with a recurring job of 200 tasks in the suite.

Ruled out: acknowledging ends before they are durable; the second runs began before the first ends were read.

The fix: a report with as many ends as fit in one is partial. It ends the runs that it lists and none that it omits. Their ends come in later reports once these are acknowledged, or the worker's lease expires.

--- a/internal/peer/target/target.go
+++ b/internal/peer/target/target.go
@@ -122,6 +122,7 @@
 		Incarnation int64 // start time of the incarnation in Unix milliseconds; 0 if not reported
 		Running     []Run
 		Ended       []End // run ends that are not acknowledged yet
+		Partial     bool  // there may be further ends: only a later report shows whether a run that is not in this one has ended
 	}
 
 	// Worker is a worker's entry in the list of workers.
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -279,6 +279,14 @@
 	}
 	e.assessWorker(w)
 	e.adjustCPUShare(w)
+	if !r.Partial {
+		e.endOmitted(w, inReport, sent)
+	}
+}
+
+// endOmitted ends the runs that are not in a complete report, which was requested at the given
+// time: the worker's lease has expired.
+func (e *Engine) endOmitted(w *worker, inReport map[*member]bool, sent time.Duration) {
 	for _, m := range w.members() {
 		if !inReport[m] && m.phase != planned && m.phase != starting && m.answeredAt != 0 && sent > m.answeredAt {
 			e.handleEnd(m, target.LeaseExpired, "")
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -19,12 +19,12 @@
 const Endless time.Duration = 1 << 62
 
 const (
-	startupTime      = 500 * time.Millisecond // time until an endless run reports progress of 100 percent
-	maxLease         = 10 * time.Second       // longest lease that a worker accepts; longer ones are cut
-	tick             = 10 * time.Millisecond  // interval at which Run advances the workers
-	killGrace        = 300 * time.Millisecond // from a stop until the run ends
-	gangTimeout      = 3 * time.Second        // how long a run waits for the rest of its gang
-	maxEndsPerReport = 20                     // small, so that tests cover ends that take several reports
+	startupTime   = 500 * time.Millisecond // time until an endless run reports progress of 100 percent
+	maxLease      = 10 * time.Second       // longest lease that a worker accepts; longer ones are cut
+	tick          = 10 * time.Millisecond  // interval at which Run advances the workers
+	killGrace     = 300 * time.Millisecond // from a stop until the run ends
+	gangTimeout   = 3 * time.Second        // how long a run waits for the rest of its gang
+	endsPerReport = 20                     // small, so that tests cover ends that take several reports
 )
 
 type (
@@ -41,6 +41,7 @@
 		// several. There is no difference if it is 0.
 		SpreadSlowdown float64
 		Random         func() float64 // returns a number in [0,1)
+		EndsPerReport  int            // largest number of ends in a report
 		// Outcome returns the length of a run, as work at full speed, and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 		// ListLag returns how long a change of the list takes to become visible. Changes stay in
@@ -95,7 +96,7 @@
 		waveStates: map[int]string{}, takenDown: map[int]map[string]bool{}, downCount: map[int]int{}, tokens: map[string]int64{}, holders: map[string]string{},
 	}
 
-	return &Fleet{Random: random, hosts: h, workers: map[string]*Worker{}, Journal: Journal{jobs: map[string]work.Job{}, refused: map[string]bool{}}}
+	return &Fleet{Random: random, EndsPerReport: endsPerReport, hosts: h, workers: map[string]*Worker{}, Journal: Journal{jobs: map[string]work.Job{}, refused: map[string]bool{}}}
 }
 
 // Run advances the workers every tick until the context ends.
@@ -513,7 +514,8 @@
 
 // report returns the worker's report: its active runs and its oldest unacknowledged ends.
 func (f *Fleet) report(w *Worker) target.Report {
-	r := target.Report{Clock: w.clock(), Incarnation: w.Incarnation, Ended: slices.Clone(w.unackedEnds[:min(len(w.unackedEnds), maxEndsPerReport)])}
+	ends := min(len(w.unackedEnds), f.EndsPerReport)
+	r := target.Report{Clock: w.clock(), Incarnation: w.Incarnation, Ended: slices.Clone(w.unackedEnds[:ends]), Partial: ends == f.EndsPerReport}
 	for _, a := range w.runs {
 		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.checkpoint(), Percent: a.progress(), Usage: f.usage(w, a)})
 	}
