One job's record doesn't stop everybody's work

Cause: each due occurrence of a recurring job was added to its progress, which is one record. Beyond the 262,144 bytes that the store accepts, the append was refused for good. The planner took that for an outage and repeated it for ever, with all records of other jobs behind it. Ended occurrences stayed in the record as well, with 3 bytes each. A job whose definition alone was too large did the same, and a step's count near the largest integer passed the check of the sum.

The fix, why it works: due occurrences wait while the open ones have as many tasks as a record can hold, 2,000 with records of 256 KiB, which was the limit of one occurrence already; so a job always has something to run while it waits. What can never fit is rejected when it is handed in, code 21 with the size and the limit. If a record is still too large, it isn't sent: its job fails, its end is recorded without its tasks, and all other records are written. The record of silent workers, which would outgrow the limit with 9,000 of them, leaves some out; later planners wait longer for those. No write and no call is added.

--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -23,6 +23,7 @@
 	Conflict     Code = 18
 	NotFound     Code = 19
 	NotReady     Code = 20
+	TooLarge     Code = 21
 	Stopped      Code = 30
 	Expired      Code = 31
 	Broken       Code = 32
@@ -74,6 +75,7 @@
 	Conflict:     {"conflict", RanNone, http.StatusConflict},
 	NotFound:     {"not-found", RanNone, http.StatusNotFound},
 	NotReady:     {"not-ready", RanNo, http.StatusServiceUnavailable},
+	TooLarge:     {"too-large", RanNo, http.StatusRequestEntityTooLarge},
 	Stopped:      {"stopped", RanPartly, http.StatusOK},
 	Expired:      {"expired", RanPartly, http.StatusOK},
 	Broken:       {"broken", RanPartly, http.StatusOK},
--- a/internal/core/work/job.go
+++ b/internal/core/work/job.go
@@ -11,7 +11,7 @@
 const (
 	maxSpecBytes   = 4000   // largest specification that a caller may send
 	maxSteps       = 64     // keeps the state of a job well below the size of one record
-	maxTasks       = 2000   // keeps a progress record below 256 KiB
+	maxTasks       = 2000   // of one occurrence, and of all open ones
 	maxOccurrences = 100000 // occurrences of a recurring job
 )
 
@@ -97,15 +97,14 @@
 	case j.Times > 1 && j.Interval <= 0:
 		return fmt.Errorf("interval of %d ms between occurrences is not positive", j.Interval)
 	}
-	tasks := 0
+	tasks := uint64(0) // cannot overflow: the loop ends at the first step that is too large
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
 			return err
 		}
-		tasks += s.Count
-	}
-	if tasks > maxTasks {
-		return fmt.Errorf("%d tasks are more than %d", tasks, maxTasks)
+		if tasks += uint64(s.Count); tasks > maxTasks {
+			return fmt.Errorf("%d tasks are more than %d", tasks, maxTasks)
+		}
 	}
 
 	return nil
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -55,7 +55,7 @@
 	return 0, ""
 }
 
-// Encode encodes a Job or a Progress as a record.
+// Encode encodes a value as a record.
 func Encode(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
 
@@ -71,29 +71,3 @@
 
 	return j, errors.Wrap(j.Validate(), "decode job")
 }
-
-// DecodeProgress decodes a progress record and checks that it matches the given job.
-func DecodeProgress(b []byte, j *Job) (Progress, error) {
-	var p Progress
-	if err := cbor.Unmarshal(b, &p); err != nil {
-		return p, errors.Wrap(err, "decode progress")
-	}
-	if p.Phase > Cancelled || len(p.Occurs) > j.Occurrences() {
-		return p, errors.Errorf("progress of job %q has phase %d and %d occurrences", j.ID, p.Phase, len(p.Occurs))
-	}
-	for _, o := range p.Occurs {
-		if len(o.Steps) == 0 && o.Ended {
-			continue
-		}
-		if len(o.Steps) != len(j.Steps) {
-			return p, errors.Errorf("progress of job %q has %d steps instead of %d", j.ID, len(o.Steps), len(j.Steps))
-		}
-		for i, s := range o.Steps {
-			if len(s) != j.Steps[i].Count {
-				return p, errors.Errorf("progress of job %q has %d tasks in step %d instead of %d", j.ID, len(s), i, j.Steps[i].Count)
-			}
-		}
-	}
-
-	return p, nil
-}
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -78,6 +78,9 @@
 	}
 )
 
+// Size returns the size of a record in the store, in bytes.
+func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) } // one byte holds the length of the key
+
 func (e *ConditionError) Error() string { return fmt.Sprintf("topic ends at offset %d", e.End) }
 func (e *SequenceError) Error() string  { return fmt.Sprintf("sequence number %d expected", e.Expected) }
 func (e *TruncatedError) Error() string { return fmt.Sprintf("records before %d are gone", e.First) }
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -38,6 +38,8 @@
 	// ErrUnknownQueue means that the planner does not know the job's queue yet. The call had no
 	// effect; the job can be written to HandinTopic with a record of its queue.
 	ErrUnknownQueue = errors.New("queue is not known to the planner")
+	// ErrTooLarge means that the job or a record is too large to be stored. The call had no effect.
+	ErrTooLarge = errors.New("too large to be stored")
 	// ErrUnknownJob means that the job does not exist in the caller's workspace.
 	ErrUnknownJob = errors.New("job is not known")
 )
@@ -74,6 +76,7 @@
 		Now             func() time.Time
 		Log             *log.Logger
 		Name            string                             // name of this VM with its incarnation
+		RecordBytes     int                                // size of the largest record that the store accepts; 0 for work.DefaultRecordBytes
 		MaxCalls        int                                // number of concurrent calls to workers that this VM can sustain
 		SchedulingDelay func() time.Duration               // recent scheduling delay of this process; nil if it is not measured
 		Count           func(name string, n int64)         // adds n to a counter metric
@@ -178,12 +181,17 @@
 		failedOn     map[string]int           // number of failed runs, by worker
 		crashes      work.Crashes             // crashes of workers under its tasks
 		crashedAt    time.Duration            // when the newest of them was counted
+		oversize     bool                     // its progress was too large to be stored: only its end is
+		delayed      bool                     // occurrences that are due wait for others to end
 		doneRunTimes map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
 	}
 )
 
 // New returns an engine. Run starts it.
 func New(c Config) *Engine {
+	if c.RecordBytes == 0 {
+		c.RecordBytes = work.DefaultRecordBytes
+	}
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -13,8 +13,11 @@
 const maxEarlyCancels = 10000 // maximum number of remembered cancellations of unknown jobs
 
 // Submit adds a job and returns when it is durable. After an error other than
-// ErrNotPlanning and ErrUnknownQueue it is unknown whether the job is accepted.
+// ErrNotPlanning, ErrUnknownQueue and ErrTooLarge it is unknown whether the job is accepted.
 func (e *Engine) Submit(ctx context.Context, def work.Job) error {
+	if err := def.CheckSize(e.RecordBytes); err != nil {
+		return errors.Wrap(ErrTooLarge, err.Error())
+	}
 	e.mu.Lock()
 	if e.ctx == nil || e.ctx.Err() != nil || !e.ready {
 		e.mu.Unlock()
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -64,19 +64,39 @@
 	e.Observe("pass_seconds", e.lastPass)
 }
 
-// addDueOccurrences adds the occurrences of recurring jobs that are due.
+// addDueOccurrences adds the occurrences of recurring jobs that are due. They wait while the open
+// ones have as many tasks as a progress record can hold.
 func (e *Engine) addDueOccurrences() {
 	now := e.Now().UnixMilli()
 	for _, j := range e.active {
-		if j.Phase.Final() {
+		if j.Phase.Final() || len(j.Occurs) == j.Occurrences() || j.Due(len(j.Occurs)) > now {
 			continue
 		}
-		for occur := len(j.Occurs); occur < j.Occurrences() && j.Due(occur) <= now; occur++ {
+		free := work.MaxOpenTasks(e.RecordBytes) - j.openTasks()
+		for len(j.Occurs) < j.Occurrences() && j.Due(len(j.Occurs)) <= now && (free >= j.Tasks() || len(j.Occurs) == 0) {
 			j.Occurs = append(j.Occurs, work.NewOccurrence(&j.Job))
+			free -= j.Tasks()
+		}
+		waits := len(j.Occurs) < j.Occurrences() && j.Due(len(j.Occurs)) <= now
+		if waits && !j.delayed {
+			e.Log.Warn().Str("event", "occurrences-delayed").Str("id", j.ID).Int("next", len(j.Occurs)).Int("open", j.openTasks()).Msg("")
 		}
+		j.delayed = waits
 	}
 }
 
+// openTasks returns the number of tasks of the job's occurrences that have not ended.
+func (j *job) openTasks() int {
+	n := 0
+	for i := range j.Occurs {
+		if !j.Occurs[i].Ended {
+			n += j.Tasks()
+		}
+	}
+
+	return n
+}
+
 // candidates returns the candidates for placement, sorted by rank.
 func (e *Engine) candidates() []candidate {
 	var cands []candidate
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -287,7 +287,9 @@
 	d.MaybeScanArgs(t, "workspace", &j.Workspace)
 	d.MaybeScanArgs(t, "times", &j.Times)
 	if j.Times > 0 {
-		j.First, j.Interval = time.Now().Add(time.Second).UnixMilli(), 1500
+		interval := 1500
+		d.MaybeScanArgs(t, "interval", &interval)
+		j.First, j.Interval = time.Now().Add(time.Second).UnixMilli(), int64(interval)
 	}
 	if d.HasArg("then") {
 		next := s
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,8 +12,14 @@
 	"sesameyoke/internal/run/timer"
 )
 
-// silentInterval is the interval between writes of the silent record while it has entries.
-const silentInterval = 500 * time.Millisecond
+const (
+	// Interval between writes of the silent record while it has entries.
+	silentInterval = 500 * time.Millisecond
+	// Size of an entry of the record without the worker's name, at most.
+	silentEntryBytes = 24
+	// Size of its key and its other fields, at most.
+	silentHeadBytes = 64
+)
 
 type (
 	// silentRecord lists workers that have runs but do not answer the planner. While it lists
@@ -166,8 +173,21 @@
 	e.requestPass()
 }
 
+// fitSilent leaves out the workers for which a record has no room. Later planners count the whole
+// lease of those from the end of this planner.
+func (e *Engine) fitSilent(silent map[string]silentWorker) {
+	room := e.RecordBytes - silentHeadBytes
+	for _, name := range slices.Sorted(maps.Keys(silent)) {
+		if room -= len(name) + silentEntryBytes; room < 0 {
+			delete(silent, name)
+			e.Count("silent_left_out", 1)
+		}
+	}
+}
+
 // writeSilent schedules the silent record. The callback is called like that of writer.put.
 func (e *Engine) writeSilent(silent map[string]silentWorker, f func(error)) {
+	e.fitSilent(silent)
 	b, err := work.Encode(silentRecord{Token: e.Lease.Token, Workers: silent})
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -71,7 +71,14 @@
 // putRecord schedules a record that belongs to no job. The callback f is called like that
 // of put.
 func (w *writer) putRecord(key string, value []byte, f func(error)) {
-	w.otherRecords = append(w.otherRecords, store.Record{Key: key, Value: value})
+	r := store.Record{Key: key, Value: value}
+	if r.Size() > w.e.RecordBytes {
+		w.e.logTooLarge(r)
+		f(ErrTooLarge)
+
+		return
+	}
+	w.otherRecords = append(w.otherRecords, r)
 	w.after(f)
 }
 
@@ -133,11 +140,11 @@
 		j := w.dirty[0]
 		w.dirty = w.dirty[1:]
 		j.dirty = false
-		n, err := g.add(j)
+		records, err := w.e.recordsOf(j)
 		if err != nil {
 			return g, err
 		}
-		size += n
+		size += g.add(j, records)
 		w.e.contain("queue", j.Queue, func() {
 			if r, due := w.e.dueQueueRecord(j.Queue); due {
 				g.records = append(g.records, r)
@@ -160,35 +167,15 @@
 }
 
 // add adds a job's records to the group and returns their size.
-func (g *group) add(j *job) (int, error) {
+func (g *group) add(j *job, records []store.Record) int {
 	size := 0
-	if !j.durable && !j.handin.open {
-		b, err := work.Encode(j.Job)
-		if err != nil {
-			return 0, errors.Wrapf(err, "job %q", j.ID)
-		}
-		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, j.ID), Value: b})
-		size += len(b)
-	}
-	if len(j.Occurs) > 0 || j.Phase != work.Queued || j.handin.open {
-		b, err := work.Encode(j.Progress)
-		if err != nil {
-			return 0, errors.Wrapf(err, "progress of job %q", j.ID)
-		}
-		g.records = append(g.records, store.Record{Key: work.Key(work.ProgressRecord, j.ID), Value: b})
-		size += len(b)
-	}
-	if len(j.crashes) > 0 {
-		b, err := j.crashes.Encode()
-		if err != nil {
-			return 0, errors.Wrapf(err, "crashes of job %q", j.ID)
-		}
-		g.records = append(g.records, store.Record{Key: work.Key(work.CrashRecord, j.ID), Value: b})
-		size += len(b)
+	for _, r := range records {
+		size += r.Size()
 	}
+	g.records = append(g.records, records...)
 	g.phases[j] = j.Phase
 
-	return size, nil
+	return size
 }
 
 // write appends a group until the outcome is known, and calls its callbacks.
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -46,6 +46,7 @@
 		Watcher         *ConfigWatcher
 		Elector         *lead.Elector
 		PeerClient      *planner.Client
+		RecordBytes     int                  // size of the largest record that the store accepts; 0 for work.DefaultRecordBytes
 		RevocationBound time.Duration        // a withdrawn key must be refused within this time
 		SinceBoot       func() time.Duration // current boot time: time since boot, including time suspended
 		Log             *log.Logger
@@ -81,6 +82,10 @@
 
 // New returns an entry that knows no other VMs yet.
 func New(c Config) *Entry {
+	if c.RecordBytes == 0 {
+		c.RecordBytes = work.DefaultRecordBytes
+	}
+
 	return &Entry{Config: c, peers: map[string]peer{}}
 }
 
@@ -141,7 +146,7 @@
 	start, uncertain := e.SinceBoot(), false // uncertain: an attempt may have reached the store
 	for ctx.Err() == nil {
 		c := e.submitOnce(ctx, record, handin)
-		if c == code.OK || c == code.BadRequest {
+		if c == code.OK || c == code.BadRequest || c == code.TooLarge {
 			return c
 		}
 		uncertain = uncertain || c == code.Unknown
@@ -161,7 +166,7 @@
 // if the store refuses, through another VM.
 func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) code.Code {
 	c := e.plannerSubmit(ctx, record, false)
-	if c == code.OK || c == code.BadRequest {
+	if c == code.OK || c == code.BadRequest || c == code.TooLarge {
 		return c
 	}
 	uncertain := c == code.Unknown
@@ -231,6 +236,8 @@
 		return code.OK
 	case errors.Is(err, engine.ErrNotPlanning), errors.Is(err, engine.ErrUnknownQueue):
 		return code.NotReady
+	case errors.Is(err, engine.ErrTooLarge):
+		return code.TooLarge
 	}
 
 	return code.Unknown
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -28,6 +28,7 @@
 		Random    func() float64 // returns a number in [0,1)
 		PageSize  int            // records on a page of the newest records
 		PageBytes int            // size of the records from which no further one is added to a page
+		RecordMax int            // size of the largest record that the store accepts
 
 		mu     sync.Mutex
 		topics map[string]*topic
@@ -71,7 +72,7 @@
 // tests cover several. random returns numbers in [0,1).
 func NewStore(random func() float64) *Store {
 	return &Store{
-		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20,
+		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20, RecordMax: 256 << 10,
 		topics: map[string]*topic{}, cutOff: map[string]bool{}, links: map[string]*link{},
 	}
 }
@@ -92,7 +93,7 @@
 
 // Put writes a record, as the operator or a worker does. It ignores the faults.
 func (s *Store) Put(topic, key string, value []byte) {
-	// An append without conditions always succeeds.
+	// An append without conditions succeeds, unless the record is too large.
 	_, _ = s.apply(store.Append{Topic: topic, ExpectedEnd: -1, Records: []store.Record{{Key: key, Value: value}}})
 }
 
@@ -222,6 +223,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(a.Topic)
+	for _, r := range a.Records {
+		if n := r.Size(); n > s.RecordMax {
+			return 0, errors.Wrapf(store.ErrRefused, "record %q has %d bytes, more than %d", r.Key, n, s.RecordMax)
+		}
+	}
 	if a.ExpectedEnd >= 0 && t.end() != a.ExpectedEnd {
 		return 0, &store.ConditionError{End: t.end()}
 	}
