A successor counts its predecessor's unanswered orders to take hosts down

Cause: which hosts had an order without an answer was kept in memory only. After a takeover the successor took another host down, and the late order was carried out beside it. The fence is one for each host, so that it doesn't help.

Ruled out: two planners that order at the same time (the successor waits for the predecessor's lease); an order carried out twice (it has no effect on a host that has been down for the wave).

The fix, why it works: the names are written to the record w/N/orders before the orders are sent, and these wait until it is durable, so that whatever may be carried out late is known to later planners. They count such a host as maybe down until 18 s after their own beginning, unless it is done. Only waves are concerned: no write is added to the path of a hand-in or a start. The record is deleted with the last answer, or with the wave.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -121,6 +121,7 @@
 		calls             semaphore          // bounds concurrent stops, and lease renewals that are to be answered at once
 		adviceByStep      map[string]*advice // placement advice, by step name
 		waves             map[int]*wave
+		inheritedOrders   map[int][]string        // hosts that previous planners may have ordered down, by wave
 		idle              map[stepKey]*idleStep   // steps that wait while their jobs have no runs
 		silent            map[string]bool         // workers that the silent record lists, or may list
 		admitted          map[string]bool         // workers that this planner may have granted a lease, also in earlier incarnations
@@ -195,7 +196,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
-		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, silent: map[string]bool{}, admitted: map[string]bool{},
+		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
--- a/internal/run/engine/maintenance.go
+++ b/internal/run/engine/maintenance.go
@@ -30,6 +30,7 @@
 
 		reported      string                   // state that was last reported to the operator
 		unsaved       bool                     // Done and Begun are not durable yet
+		ordered       map[string]bool          // hosts with an order that may be unanswered; durable before it is sent
 		unconfirmed   map[string]time.Duration // hosts with an unanswered order, and until when that may be executed
 		cordonedSince map[string]time.Duration // cordoned hosts, and since when
 		downSince     map[string]time.Duration // hosts that were ordered down, and when
@@ -72,10 +73,12 @@
 			e.Log.Info().Str("event", "wave").Int("wave", requested.Number).Int("hosts", len(requested.Hosts)).
 				Int("most", requested.MaxDown).Dur("within", requested.TimeLimit).Msg("")
 		}
+		w.Wave = requested
 		if w.cordonedSince == nil {
 			w.unconfirmed, w.cordonedSince, w.downSince = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}
+			w.ordered = map[string]bool{}
+			e.inheritOrders(w)
 		}
-		w.Wave = requested
 		if w.reported != waveDone {
 			open = append(open, w)
 		}
@@ -105,6 +108,9 @@
 		e.mu.Lock()
 		d := e.decideWave(w, hosts)
 		e.mu.Unlock()
+		if len(d.Down) == 0 || !e.recordOrders(ctx, w, d.Down) {
+			continue
+		}
 		for _, h := range d.Down {
 			e.orderDown(ctx, w, h)
 		}
@@ -133,6 +139,9 @@
 	e.Log.Info().Str("event", "wave-reported").Int("wave", w.Number).Str("state", state).Int("done", len(w.Done)).Msg("")
 	e.mu.Lock()
 	w.reported = state
+	if state == waveDone {
+		e.dropOrders(w)
+	}
 	e.mu.Unlock()
 
 	return nil
@@ -278,10 +287,11 @@
 	switch {
 	case err == nil:
 		w.downSince[name] = now
-		delete(w.unconfirmed, name)
 		e.markHostDone(w, name)
+		e.noteOrderAnswered(w, name)
 	case errors.Is(err, cloud.ErrNoHost):
 		e.markHostDone(w, name)
+		e.noteOrderAnswered(w, name)
 	case errors.Is(err, cloud.ErrFenced):
 		e.loseLease("cloud")
 	case errors.Is(err, cloud.ErrUnknown):
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -193,6 +193,8 @@
 	case work.WaveRecord:
 		if n, err := strconv.Atoi(id); err == nil {
 			e.restoreWave(n, r.Value)
+		} else if !e.restoreOrders(id, r.Value) {
+			e.Log.Warn().Str("event", "record-skipped").Str("key", r.Key).Int64("offset", r.Offset).Msg("")
 		}
 	case work.SilentRecord:
 		e.loadSilent(r.Value)
