A long-running task on a silent worker doesn't count as available

Cause: mayStop counted the runs that had made progress, also those of workers that no longer answer. These count as running until their lease has expired, for up to 10.5 s.

Evidence: script wavesilent, one of three tasks may be unavailable, the worker of the second is lost 4.9 s before the host of the first is drained. Before, the first one was stopped ("run 1: stopped, run 2: running"); now it goes on until the lost one runs again, and the wave still ends.

Ruled out: a run whose worker hasn't been missed yet; renewals fail within a second of the loss.

The fix: a run counts as available only while its worker answers. A worker that is only cut off delays the wave until it answers again, or until its lease has expired and the task runs elsewhere.

--- a/internal/run/engine/maintenance.go
+++ b/internal/run/engine/maintenance.go
@@ -231,7 +231,7 @@
 		}
 		o := e.units[unitName(u.job, u.occur, u.step, i)]
 		if o == nil || o.aborted || !slices.ContainsFunc(o.members, func(x *member) bool {
-			return x.index == i && x.phase == running && x.track.Percent() >= readyPercent
+			return x.index == i && x.phase == running && x.track.Percent() >= readyPercent && x.worker.silentSince == 0
 		}) {
 			unavailable++
 		}
