The engine's context is set under its lock

An entry VM that becomes the planner sets its engine and then calls Run, which set the context without the lock, while calls of other VMs read it.

Evidence: TestCallsWhileStarting with the race detector, 3 of 3 runs with a report before, none in 3 runs now. Without the detector nothing was seen.

The fix: Run sets the context, and what is set beside it, under the lock that the calls hold.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -207,8 +207,10 @@
 // Run takes over from the previous planner and schedules until the context ends or
 // the lease is lost.
 func (e *Engine) Run(ctx context.Context) {
+	e.mu.Lock()
 	e.ctx = ctx
 	e.began, e.lastGranter = e.SinceBoot(), e.Lease.Token-1
+	e.mu.Unlock()
 	if err := e.recover(ctx); err != nil {
 		e.Log.Warn().Str("event", "recovery-ended").Err(err).Int64("token", e.Lease.Token).Msg("")
 
