A job whose state can't be encoded doesn't take its group along

It can't be provoked: jobs and progress are plain structures, which always encode. So there is no test of its own; the path is now that of a record that is too large (TestOversizeProgress): the job fails, and all others are written.

--- a/internal/run/engine/records.go
+++ b/internal/run/engine/records.go
@@ -49,19 +49,22 @@
 }
 
 // recordsOf returns the records of a job's state, each of which the store accepts. The store would
-// refuse a larger one for good, with all others of the same append: the job fails.
-func (e *Engine) recordsOf(j *job) ([]store.Record, error) {
+// refuse a larger one for good, with all others of the same append: the job fails. So it does if its
+// state cannot be encoded: otherwise its runs would go on unrecorded.
+func (e *Engine) recordsOf(j *job) []store.Record {
 	tooLarge := func(r store.Record) bool { return r.Size() > e.RecordBytes }
 	all, err := j.records()
-	if err != nil || !slices.ContainsFunc(all, tooLarge) {
-		return all, err
+	if err == nil && !slices.ContainsFunc(all, tooLarge) {
+		return all
 	}
 	j.oversize = true
 	if !j.Phase.Final() {
-		e.Log.Error().Str("event", "job-failed").Str("id", j.ID).Int("code", int(code.TooLarge)).Int("limit", e.RecordBytes).Msg("")
+		e.Log.Error().Str("event", "job-failed").Str("id", j.ID).Int("code", int(code.TooLarge)).Int("limit", e.RecordBytes).Err(err).Msg("")
 		e.endJob(j, work.Failed)
 	}
-	all, err = j.records()
+	if all, err = j.records(); err != nil {
+		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Err(err).Msg("")
+	}
 
 	return slices.DeleteFunc(all, func(r store.Record) bool {
 		if tooLarge(r) {
@@ -69,7 +72,7 @@
 		}
 
 		return tooLarge(r)
-	}), err
+	})
 }
 
 // logTooLarge logs that a record is not written because the store would refuse it for good.
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -104,12 +104,7 @@
 		case <-w.wake:
 		}
 		for ctx.Err() == nil {
-			g, err := w.nextGroup()
-			if err != nil {
-				w.e.Log.Error().Str("event", "record-not-encoded").Err(err).Msg("")
-
-				continue
-			}
+			g := w.nextGroup()
 			if len(g.records) == 0 && len(g.callbacks) == 0 {
 				break
 			}
@@ -131,7 +126,7 @@
 
 // nextGroup collects the next group. A callback must not be called before its job's record
 // is durable, so the group takes the callbacks only if it takes all dirty jobs.
-func (w *writer) nextGroup() (group, error) {
+func (w *writer) nextGroup() group {
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
 	g := group{phases: map[*job]work.Phase{}}
@@ -140,11 +135,7 @@
 		j := w.dirty[0]
 		w.dirty = w.dirty[1:]
 		j.dirty = false
-		records, err := w.e.recordsOf(j)
-		if err != nil {
-			return g, err
-		}
-		size += g.add(j, records)
+		size += g.add(j, w.e.recordsOf(j))
 		w.e.contain("queue", j.Queue, func() {
 			if r, due := w.e.dueQueueRecord(j.Queue); due {
 				g.records = append(g.records, r)
@@ -163,7 +154,7 @@
 		g.callbacks, w.callbacks = w.callbacks, nil
 	}
 
-	return g, nil
+	return g
 }
 
 // add adds a job's records to the group and returns their size.
