--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"sesameyoke/internal/peer/planner"
+	"sesameyoke/internal/peer/rest"
 	"sesameyoke/internal/run/engine"
 	"sesameyoke/internal/run/entry"
 	"sesameyoke/internal/run/lead"
@@ -110,7 +111,7 @@
 func newVM(settings platform.Settings, l *plog.Logger) *vm {
 	v := &vm{settings: settings, log: l, metrics: metrics.New(), lag: timer.Lag{Now: sinceBoot}}
 	direct := platform.NewStore(settings.Store)
-	peers := &planner.Client{HTTP: &http.Client{Transport: platform.NewTransport()}}
+	peers := &planner.Client{HTTP: &http.Client{Transport: rest.NewTransport()}}
 	st := relay.New(relay.Config{
 		Direct: direct, Peers: func() []string { return v.entry.PeerAddresses() }, Via: peers.Store, SinceBoot: sinceBoot, Log: l,
 	})
@@ -131,7 +132,7 @@
 		Offer: peers.OfferLease,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
 			// Otherwise the idle connections of each term would stay open and fill the workers' limits.
-			t := platform.NewTransport()
+			t := rest.NewTransport()
 			defer t.CloseIdleConnections()
 			v.plan(ctx, v.engineConfig(t, st, lease, watcher, waves))
 		},
