The next planner counts its predecessor's stale orders

Cause: which workers had restarted with an unanswered order that has a deadline on their earlier clock was known to the planner only (validUntilAtLeast). The next one took the lease of such a worker for expired, and the late order extended it. Class: knowledge kept only in memory.

The fix, why it works: the record stale/ says how long a lease that such an order gives may last at most, from the write on. It is written when a restart is noticed and every 0.5 s until that has passed. The next planner counts it from the moment at which its predecessor could write no more, so never too short. Nothing is written where no worker has restarted with such an order, and nothing on the path of a hand-in or a start. A planner that reaches the worker ends the danger itself: its token keeps earlier orders out.

Open: a worker that restarts after its planner's end and is cut off from the next one.

--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -17,6 +17,7 @@
 	silentPrefix   = "silent/"
 	crashPrefix    = "x/"
 	queuePrefix    = "q/"
+	stalePrefix    = "stale/"
 )
 
 // Kinds of record.
@@ -28,6 +29,7 @@
 	SilentRecord                   // workers without a recent lease; written only by the planner
 	CrashRecord                    // crashes of workers under the job's tasks; written only by the planner
 	QueueRecord                    // what jobs need to know of their queue, by the queue's name
+	StaleRecord                    // restarted workers that an order for their earlier clock may reach; written only by the planner
 )
 
 // Kind is the kind of a record.
@@ -35,6 +37,7 @@
 
 var keyPrefixes = map[Kind]string{
 	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix, QueueRecord: queuePrefix,
+	StaleRecord: stalePrefix,
 }
 
 // Key returns the key of a record of a job or a queue.
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -121,26 +121,28 @@
 		calls             semaphore          // bounds concurrent stops, and lease renewals that are to be answered at once
 		adviceByStep      map[string]*advice // placement advice, by step name
 		waves             map[int]*wave
-		inheritedOrders   map[int][]string        // hosts that previous planners may have ordered down, by wave
-		idle              map[stepKey]*idleStep   // steps that wait while their jobs have no runs
-		silent            map[string]bool         // workers that the silent record lists, or may list
-		admitted          map[string]bool         // workers that this planner may have granted a lease, also in earlier incarnations
-		silentWrites      int                     // number of scheduled writes of the silent record
-		grantRecorded     bool                    // the silent record of this planner is durable
-		lastGranter       int64                   // newest earlier token under which leases may have been granted
-		inheritedSilent   map[string]silentWorker // workers of the silent record of the previous planners
-		adviceStep        string                  // name of the step whose advice request is in flight; empty if none is
-		ready             bool                    // the takeover is complete: calls are accepted
-		began             time.Duration           // when Run was called
-		fencedAt          time.Duration           // when the previous planners were known to be fenced
-		firstListing      *Listing                // first read of the worker list
-		handinOffset      int64                   // next offset to read in HandinTopic
-		handinReadAt      time.Duration           // when the newest successful read of HandinTopic was requested
-		expiryCheckedAt   time.Duration           // when jobs and queues were last searched for what is to be deleted
-		deletingHandins   bool                    // a deletion of hand-in records is in flight
-		deletedHandins    int64                   // end of HandinTopic after the newest deletion of hand-in records
-		deletionRetryAt   time.Duration           // earliest time of the next deletion of hand-in records
-		listedAt          time.Duration           // when the newest successful read of the worker list was requested
+		inheritedOrders   map[int][]string         // hosts that previous planners may have ordered down, by wave
+		idle              map[stepKey]*idleStep    // steps that wait while their jobs have no runs
+		silent            map[string]bool          // workers that the silent record lists, or may list
+		admitted          map[string]bool          // workers that this planner may have granted a lease, also in earlier incarnations
+		silentWrites      int                      // number of scheduled writes of the silent record
+		grantRecorded     bool                     // the silent record of this planner is durable
+		lastGranter       int64                    // newest earlier token under which leases may have been granted
+		inheritedSilent   map[string]silentWorker  // workers of the silent record of the previous planners
+		inheritedStale    map[string]time.Duration // until when stale orders of previous planners count, by worker
+		recordedStale     map[string]int64         // newest content of the record of stale orders
+		adviceStep        string                   // name of the step whose advice request is in flight; empty if none is
+		ready             bool                     // the takeover is complete: calls are accepted
+		began             time.Duration            // when Run was called
+		fencedAt          time.Duration            // when the previous planners were known to be fenced
+		firstListing      *Listing                 // first read of the worker list
+		handinOffset      int64                    // next offset to read in HandinTopic
+		handinReadAt      time.Duration            // when the newest successful read of HandinTopic was requested
+		expiryCheckedAt   time.Duration            // when jobs and queues were last searched for what is to be deleted
+		deletingHandins   bool                     // a deletion of hand-in records is in flight
+		deletedHandins    int64                    // end of HandinTopic after the newest deletion of hand-in records
+		deletionRetryAt   time.Duration            // earliest time of the next deletion of hand-in records
+		listedAt          time.Duration            // when the newest successful read of the worker list was requested
 
 		lastPass   time.Duration // duration of the newest pass
 		reviewedAt time.Duration // when moveRuns last examined the runs
@@ -196,7 +198,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
-		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, silent: map[string]bool{}, admitted: map[string]bool{},
+		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
--- a/internal/run/engine/lease.go
+++ b/internal/run/engine/lease.go
@@ -15,14 +15,24 @@
 }
 
 // nextDeadline returns the lease deadline for an order sent now, and remembers the
-// latest one.
+// latest one. settleOrder follows when the order has been answered or has timed out.
 func (w *worker) nextDeadline(boot, lease time.Duration) int64 {
 	d := w.estimateClock(boot) + lease.Milliseconds()
 	w.deadline = max(w.deadline, d)
+	w.inFlight++
 
 	return d
 }
 
+// settleOrder notes that an order with a deadline is no longer in flight.
+func (w *worker) settleOrder(incarnation int64) {
+	if w.inFlight > 0 && (w.Incarnation == incarnation || w.staleInFlight == 0) {
+		w.inFlight--
+	} else {
+		w.staleInFlight = max(0, w.staleInFlight-1)
+	}
+}
+
 // leaseExpired reports whether the worker's lease must have expired, so that all its
 // runs have ended.
 func (w *worker) leaseExpired(boot time.Duration) bool {
@@ -47,11 +57,27 @@
 // executed late, and gives the worker the longest lease that it accepts, but none beyond the
 // deadline.
 func (w *worker) validUntilAtLeast() time.Duration {
+	return max(w.notExpiredBefore, w.staleUntil())
+}
+
+// staleUntil returns the time by which a lease that such an order gives must have expired; 0 if there
+// is no such order.
+func (w *worker) staleUntil() time.Duration {
 	if w.staleAt == 0 {
-		return w.notExpiredBefore
+		return 0
+	}
+
+	return min(w.staleExpiry, w.staleAt+w.lateOrderWindow+w.maxLease)
+}
+
+// staleForSuccessor returns the time until which a later planner has to count such orders. Those that
+// are in flight count too: their outcome is not known to it.
+func (w *worker) staleForSuccessor() time.Duration {
+	if w.staleInFlight == 0 {
+		return w.staleUntil()
 	}
 
-	return max(w.notExpiredBefore, min(w.staleExpiry, w.staleAt+w.lateOrderWindow+w.maxLease))
+	return max(w.staleUntil(), w.inFlightExpiry)
 }
 
 // noteOutcome notes that an order, which had been sent at the latest at its time, has been answered
@@ -76,6 +102,8 @@
 	w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
 	w.noteStale(w.unansweredAt, w.deadline, now)
 	w.unansweredAt = 0
+	w.staleInFlight, w.inFlight = w.staleInFlight+w.inFlight, 0
+	w.inFlightExpiry = now + min(w.lateOrderWindow+w.maxLease, time.Duration(float64(w.deadline)/minClockRate)*time.Millisecond+clockMargin)
 }
 
 // noteStale notes that unanswered orders, the newest of which had been sent at a time, have
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -198,6 +198,8 @@
 		}
 	case work.SilentRecord:
 		e.loadSilent(r.Value)
+	case work.StaleRecord:
+		e.loadStale(r.Value)
 	case work.QueueRecord:
 		e.applyQueueJobs(r)
 	default:
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -144,6 +144,9 @@
 	if w.removed || e.ctx.Err() != nil {
 		return
 	}
+	if renewal.Deadline > 0 {
+		w.settleOrder(to.incarnation)
+	}
 	e.noteOutcome(w, err, sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline})
 	if err == nil {
 		e.contain("report", w.ID, func() { e.handleReport(w, renewal, r, sent) })
@@ -169,6 +172,7 @@
 		e.Log.Warn().Str("event", "order-stale").Str("worker", w.ID).Dur("sent", e.SinceBoot()-w.staleAt).Int64("deadline", w.staleDeadline).
 			Dur("leased", w.validUntilAtLeast()-e.SinceBoot()).Msg("")
 	}
+	e.recordNewStale(w)
 }
 
 // traceSending returns a context for a call to a worker, and a function that returns after the call
@@ -307,6 +311,7 @@
 		w.clockRestarted = true
 		w.voidDeadlines(now)
 		w.noteClock(clock, order.at)
+		e.recordNewStale(w)
 	}
 }
 
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -94,12 +94,14 @@
 	}
 }
 
-// updateSilent writes the silent record at intervals until the context ends.
+// updateSilent writes the records of silent workers and of stale orders at intervals until the
+// context ends.
 func (e *Engine) updateSilent(ctx context.Context) {
 	for ctx.Err() == nil {
 		timer.Pause(ctx, silentInterval)
 		e.mu.Lock()
 		e.recordSilent()
+		e.recordStale()
 		e.mu.Unlock()
 	}
 }
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -70,7 +70,7 @@
 	to := w.recipient()
 	e.background.Go(func() {
 		if !e.Lease.Valid() {
-			e.handleStartAnswer(m, startAnswer{unsent: true})
+			e.handleStartAnswer(m, startAnswer{unsent: true, order: sentOrder{incarnation: to.incarnation}})
 
 			return
 		}
@@ -87,6 +87,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts.inFlight--
+	m.worker.settleOrder(a.order.incarnation)
 	if !a.unsent {
 		e.noteStart(m.worker, a)
 	}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -33,6 +33,9 @@
 	staleAt           time.Duration           // the same for orders with a deadline on the clock of an earlier incarnation
 	staleDeadline     int64                   // latest deadline of these orders, on whichever clock
 	staleExpiry       time.Duration           // by then, the clock of the newest incarnation has reached that deadline
+	inFlight          int                     // orders with a deadline that are in flight
+	staleInFlight     int                     // the same with a deadline on the clock of an earlier incarnation
+	inFlightExpiry    time.Duration           // by then, a lease that one of these may give must have expired
 	startedAfter      time.Duration           // its newest incarnation has not started before; 0 if that is not known
 	clockRestarted    bool                    // its clock has begun anew, but the new incarnation is not known yet
 	seenEnd           int64                   // highest number of a processed run end
@@ -57,7 +60,7 @@
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStale[w.ID], free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
