--- /dev/null
+++ b/internal/standin/fleet/orders.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptrace"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/target"
+)
+
+// For returns a client of the workers for one caller. The client calls gate before and
+// after each call; a gate that blocks suspends the caller.
+func (f *Fleet) For(caller string, gate func()) *target.Client {
+	return &target.Client{
+		Start: func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
+			gate()
+			defer gate()
+
+			return f.order(ctx, caller, a, func(w *Worker) (int64, error) { return f.start(w, s) })
+		},
+		Stop: func(ctx context.Context, a target.Address, s target.Stop) (int64, error) {
+			gate()
+			defer gate()
+
+			return f.order(ctx, caller, a, func(w *Worker) (int64, error) { return f.stop(w, s) })
+		},
+		Pace: func(ctx context.Context, a target.Address, p target.Pace) (int64, error) {
+			gate()
+			defer gate()
+
+			return f.order(ctx, caller, a, func(w *Worker) (int64, error) { return w.setPace(p) })
+		},
+		RenewLease: func(ctx context.Context, a target.Address, l target.LeaseRenewal) (target.Report, error) {
+			gate()
+			defer gate()
+
+			return f.renewLease(ctx, caller, a, l)
+		},
+	}
+}
+
+// reach waits for the latency of a call and returns the worker. If the worker cannot be
+// reached, reach waits until the context ends and returns an error.
+func (f *Fleet) reach(ctx context.Context, caller string, a target.Address) (*Worker, error) {
+	if err := sleep(ctx, callLatency); err != nil {
+		return nil, errors.Wrap(target.ErrUnknown, "no reply in time")
+	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.WroteRequest != nil {
+		trace.WroteRequest(httptrace.WroteRequestInfo{})
+	}
+	f.mu.Lock()
+	w := f.workers[a.ID]
+	unreachable := w == nil || !f.current(a.ID).up || w.cutOff || w.cutOffCallers[caller]
+	replaced := w != nil && w.replacedBy != ""
+	f.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+
+		return nil, errors.Wrap(target.ErrRefused, "worker cannot be reached")
+	}
+	if replaced {
+		return nil, target.ErrOtherIncarnation
+	}
+
+	return w, nil
+}
+
+// order executes an order on a worker, subject to the injected order faults.
+func (f *Fleet) order(ctx context.Context, caller string, a target.Address, do func(w *Worker) (int64, error)) (int64, error) {
+	w, err := f.reach(ctx, caller, a)
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	if !w.up { // it has crashed since reach
+		f.mu.Unlock()
+
+		return 0, errors.Wrap(target.ErrUnknown, "connection reset")
+	}
+	late, lost := f.lateShare > 0 && f.Random() < f.lateShare, f.lostShare > 0 && f.Random() < f.lostShare
+	if !late {
+		f.advance()
+		if !w.up { // it has just crashed
+			f.mu.Unlock()
+			<-ctx.Done()
+
+			return 0, errors.Wrap(target.ErrUnknown, "no reply")
+		}
+		clock, err := do(w)
+		crashed := !w.up
+		f.mu.Unlock()
+		if crashed {
+			return 0, errors.Wrap(target.ErrUnknown, "connection reset")
+		}
+		if !lost {
+			return clock, err
+		}
+		<-ctx.Done()
+
+		return 0, errors.Wrap(target.ErrUnknown, "reply lost")
+	}
+	after := 2*time.Second + time.Duration(f.Random()*float64(10*time.Second))
+	incarnation := w.Incarnation
+	f.mu.Unlock()
+	go func() {
+		time.Sleep(after)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.advance()
+		if w.up && (w.Incarnation == incarnation || f.CrossIncarnations) {
+			_, _ = do(w) // the caller has given up waiting
+		}
+	}()
+	<-ctx.Done()
+
+	return 0, errors.Wrap(target.ErrUnknown, "no reply")
+}
+
+func (f *Fleet) start(w *Worker, s target.Start) (int64, error) {
+	clock := w.clock()
+	if s.Token < w.token {
+		return clock, target.ErrFenced
+	}
+	w.token = s.Token
+	if clock >= s.Deadline {
+		return clock, target.ErrDeadlinePassed
+	}
+	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+		return clock, nil
+	}
+	if f.Ticketed != nil && (!f.Ticketed[w.ID] || s.Ticket != ticketOf(s.Task, w)) {
+		return clock, target.ErrTicket
+	}
+	w.extendLease(s.Deadline)
+	if s.Run <= w.highestRun[s.Task] || w.runs[s.Task] != nil {
+		return clock, target.ErrStaleRun
+	}
+	length, how := f.Outcome(s.Task, s.Run, w.ID)
+	r := &activeRun{task: s.Task, run: s.Run, started: time.Now(), length: length, plannedEnd: how, percent: 100}
+	r.record = f.Journal.recordStart(w, s)
+	w.runs[s.Task] = r
+
+	return clock, nil
+}
+
+// ticketOf returns the placement ticket for one step on one incarnation of a worker.
+func ticketOf(t work.Task, w *Worker) string {
+	return fmt.Sprintf("%s.%d.%s.%d", t.Job, t.Step, w.ID, w.Incarnation)
+}
+
+// Advise emulates the placement service: it returns a ticket for each of the named workers
+// that may run a step, and how long the tickets are valid.
+func (f *Fleet) Advise(ctx context.Context, step work.Task, names []string) (map[string]string, time.Duration, error) {
+	if err := sleep(ctx, 10*callLatency); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	allowed := map[string]string{}
+	for _, n := range names {
+		if f.Ticketed[n] {
+			allowed[n] = ticketOf(step, f.workers[n])
+		}
+	}
+
+	return allowed, 3 * time.Second, nil
+}
+
+// extendLease extends the lease to a deadline on the worker's clock, at most by maxLease
+// from now. It never shortens the lease.
+func (w *Worker) extendLease(deadline int64) {
+	w.deadline = max(w.deadline, min(deadline, w.clock()+maxLease.Milliseconds()))
+}
+
+func (f *Fleet) stop(w *Worker, s target.Stop) (int64, error) {
+	if s.Token < w.token {
+		return w.clock(), target.ErrFenced
+	}
+	w.token = s.Token
+	w.highestRun[s.Task] = max(w.highestRun[s.Task], s.Run)
+	if r := w.runs[s.Task]; r != nil && r.run <= s.Run && r.killAt.IsZero() {
+		r.killAt = time.Now().Add(killGrace)
+	}
+
+	return w.clock(), nil
+}
+
+func (f *Fleet) renewLease(ctx context.Context, caller string, a target.Address, l target.LeaseRenewal) (target.Report, error) {
+	w, err := f.reach(ctx, caller, a)
+	if err != nil {
+		return target.Report{}, err
+	}
+	until := time.Now().Add(l.Wait)
+	for first := true; ; first = false {
+		f.mu.Lock()
+		if first {
+			f.advance() // while renewLease waits, Run advances the workers
+		}
+		if !w.up || w.cutOff {
+			f.mu.Unlock()
+			<-ctx.Done()
+
+			return target.Report{}, errors.Wrap(target.ErrUnknown, "no reply")
+		}
+		if l.Token < w.token {
+			f.mu.Unlock()
+
+			return target.Report{}, target.ErrFenced
+		}
+		if first {
+			w.token = l.Token
+			w.ack(l.Acked, &f.Journal)
+			if l.Deadline > 0 {
+				w.extendLease(l.Deadline)
+			}
+		}
+		if len(w.unackedEnds) > 0 || time.Now().After(until) || l.Wait == 0 {
+			r := f.report(w)
+			f.mu.Unlock()
+
+			return r, nil
+		}
+		f.mu.Unlock()
+		if err := sleep(ctx, tick); err != nil {
+			return target.Report{}, errors.Wrap(target.ErrUnknown, "no reply in time")
+		}
+	}
+}
+
+// ack drops the ends up to number n, which the planner has acknowledged.
+func (w *Worker) ack(n int64, j *Journal) {
+	w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(e target.End) bool {
+		if e.Number <= n {
+			j.recordAck(w.ID, e, w.leaseExpiredAt)
+		}
+
+		return e.Number <= n
+	})
+}
+
+// report returns the worker's report: its active runs and its oldest unacknowledged ends.
+func (f *Fleet) report(w *Worker) target.Report {
+	ends := min(len(w.unackedEnds), f.EndsPerReport)
+	r := target.Report{Clock: w.clock(), Incarnation: w.Incarnation, Ended: slices.Clone(w.unackedEnds[:ends]), Partial: ends == f.EndsPerReport}
+	for _, a := range w.runs {
+		r.Running = append(r.Running, target.Run{Task: a.task, Run: a.run, Saved: a.checkpoint(), Percent: a.progress(), Usage: f.usage(w, a)})
+	}
+
+	r.Running = append(r.Running, f.phantomRuns[w.ID]...)
+
+	return r
+}
