Two soaks at once use other ports; "ran none" is no "ran no"

Two soaks started at once looked for free ports at the same time and could get the same ones, since a VM's ports are free while it is down: a VM then found its port taken. Each block of ports is now reserved by a listener on the port before it, for as long as the soak runs.

scripts/faults.sh took an answer "ran none", whose result isn't about a run, for the definite "ran no".

--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -31,6 +31,7 @@
 	readiness    string
 	storeProxy   *proxy.Proxy
 	settingsPath string
+	reserved     net.Listener // keeps other soaks from using the ports of the VM
 	cmd          *exec.Cmd
 	exited       chan error
 	paused       bool // by SIGSTOP
@@ -42,8 +43,8 @@
 	if p.storeProxy, err = proxy.New(s.ctx, platformAddress); err != nil {
 		return nil, err
 	}
-	first, err := freePorts(s.ctx, portsPerVM)
-	if err != nil {
+	var first int
+	if first, p.reserved, err = reservePorts(s.ctx, portsPerVM); err != nil {
 		return nil, err
 	}
 	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
@@ -54,35 +55,6 @@
 	return p, errors.Wrap(os.WriteFile(p.settingsPath, file, 0o600), "write settings")
 }
 
-// freePorts returns the first of n consecutive free ports.
-func freePorts(ctx context.Context, n int) (int, error) {
-	for range 100 {
-		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, errors.Wrap(err, "find a free port")
-		}
-		addr, ok := ln.Addr().(*net.TCPAddr)
-		_ = ln.Close() // the listener only served to find the port
-		if ok && allFree(ctx, addr.Port, n) {
-			return addr.Port, nil
-		}
-	}
-
-	return 0, errors.Errorf("no %d consecutive free ports found", n)
-}
-
-func allFree(ctx context.Context, first, n int) bool {
-	for i := range n {
-		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
-		if err != nil {
-			return false
-		}
-		_ = ln.Close() // the listener only served to test the port
-	}
-
-	return true
-}
-
 func (p *process) start() error {
 	out, err := os.OpenFile(filepath.Join(p.s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -210,6 +210,7 @@
 	for _, p := range s.vms {
 		p.kill()
 		p.storeProxy.Close()
+		_ = p.reserved.Close() // nothing has connected to it
 	}
 	s.workerProxy.Close()
 	_ = s.server.Close() // the run has ended; a close error loses nothing
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -43,7 +43,7 @@
       timeout 12 "$BIN/sesameyoke" job submit --url "$(url_of $e)" --workspace grave-lights --id "pay-$n" --once \
         --deadline-at "$deadline" --members 2 --width 4 --adjacent --run 1s --wait 3s --payload '{"work":"1s"}' \
         >"$WORK_DIR/answer-$n" 2>&1 && return
-      grep -q "ran no\|ran partly\|ran unknown, 0 parts.*first worker" "$WORK_DIR/answer-$n" && ! grep -q "code 1[1479]\|code 20" "$WORK_DIR/answer-$n" && return
+      grep -q "ran no\>\|ran partly\|ran unknown, 0 parts.*first worker" "$WORK_DIR/answer-$n" && ! grep -q "code 1[1479]\|code 20" "$WORK_DIR/answer-$n" && return
     done
     sleep 0.3
   done
