A planner withdraws workers that are gone, for the next planner to know

Cause: the record of silent workers held those only that its planner had never granted a lease. When it had, the next planner knew nothing of when the last lease ended: it counted the longest lease that any worker accepts from its own takeover on. And the loss of a worker showed only when the request that waits for its next report had timed out.

Ruled out: workers that are silent but listed. They may be back at any moment, and would have to wait for a write before their lease is renewed.

The fix, why it works: a worker with runs that leaves the list is asked at once whether it answers. If not, it is withdrawn: it gets no lease before the record is durably without it, as one that has not yet reported. The record says for how long the leases that it has may last, counted from the write; the next planner counts that from the moment at which this one could write no more. A worker that has left the list gets no starts anyway, so that no write is added to their path.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -64,8 +64,9 @@
 func (e *Engine) unlist(w *worker) {
 	if w.listed {
 		e.Log.Info().Str("event", "worker-unlisted").Str("worker", w.ID).Int("runs", len(w.runs)).Msg("")
+		w.listed = false
+		e.probeGone(w)
 	}
-	w.listed = false
 	if len(w.runs) == 0 && w.reported {
 		w.removed = true
 		w.wakeSession()
--- a/internal/run/engine/goneworker_test.go
+++ b/internal/run/engine/goneworker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,62 @@
 
 	return nil
 }
+
+const (
+	maxLostPlanners = 10
+	lossInterval    = 2200 * time.Millisecond // between two losses of the planner
+)
+
+// TestPlannersLostInTurn takes a worker with a run away and then loses 1 to 10 planners in turn. It
+// guards against waits for the worker's lease that begin anew with each planner: the run must go on
+// within takeoverInterval of the worker's loss, or within longestIdle of the last planner's, whichever
+// is later. If SESAMEYOKE_FIGURES is set, it prints the times.
+func TestPlannersLostInTurn(t *testing.T) {
+	for lost := 1; lost <= maxLostPlanners; lost++ {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				took := firstRunAfter(t, lost)
+				if os.Getenv("SESAMEYOKE_FIGURES") != "" {
+					t.Logf("planners=%d seconds=%.1f", lost, took.Seconds())
+				}
+				require.LessOrEqual(t, took, max(takeoverInterval-time.Duration(lost)*lossInterval, longestIdle))
+			})
+		})
+	}
+}
+
+// firstRunAfter returns the time from the loss of the last of some planners to the next run of a job
+// whose worker was taken away before the first loss.
+func firstRunAfter(t *testing.T, lost int) time.Duration {
+	r := newRig(t, 1)
+	defer r.stop()
+	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return time.Minute, target.Done }
+	for i := range 4 {
+		r.fleet.Add(fmt.Sprintf("k%d", i), "s", fmt.Sprintf("r%d", i), work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		r.start(n)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	r.submit(work.Job{ID: "j1", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 1, Need: work.Shape{Accelerators: 8}, Estimate: 2000}}})
+	time.Sleep(2 * time.Second)
+	r.fleet.Kill("k0")
+	r.fleet.Unlist("k0")
+	for range lost {
+		time.Sleep(lossInterval)
+		if name, _ := r.planner(); name != "" {
+			r.kill(name)
+			r.start(name)
+		}
+	}
+	last := time.Now()
+	for time.Since(last) < time.Minute {
+		if active, _ := r.activeRuns(); active["j1"] {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+
+	return time.Since(last)
+}
--- a/internal/run/engine/lease.go
+++ b/internal/run/engine/lease.go
@@ -42,9 +42,16 @@
 	if !w.reported {
 		return w.expiredBy != 0 && boot > w.expiredBy
 	}
+
+	return boot > w.grantedUntil()
+}
+
+// grantedUntil returns the time by which the newest lease that this planner has granted the worker
+// must have expired.
+func (w *worker) grantedUntil() time.Duration {
 	left := time.Duration(float64(w.deadline-w.clock)/minClockRate) * time.Millisecond
 
-	return boot > w.clockAt+left+clockMargin
+	return w.clockAt + left + clockMargin
 }
 
 // setClock records a clock value received from the worker.
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -108,6 +108,7 @@
 
 // recordSilent writes the silent record unless it is and stays empty.
 func (e *Engine) recordSilent() {
+	e.withdrawGone()
 	silent := e.silentWorkers()
 	if len(silent) > 0 || len(e.silent) > 0 {
 		e.writeSilent(silent, func(error) {})
@@ -118,6 +119,12 @@
 func (e *Engine) silentWorkers() map[string]silentWorker {
 	silent := map[string]silentWorker{}
 	for _, w := range e.workers {
+		if w.withdrawn && !w.admitting && len(w.runs) > 0 {
+			until := max(w.expiredBy, w.notExpiredBefore, w.staleForSuccessor())
+			silent[w.ID] = silentWorker{Token: e.Lease.Token, Left: max(0, until-e.SinceBoot()).Milliseconds() + 1} // rounded up
+
+			continue
+		}
 		inherited, listed := e.inheritedSilent[w.ID]
 		if e.admitted[w.ID] || w.admitting || w.clockAt != 0 || len(w.runs) == 0 || (!listed && w.silentSince == 0 && w.Host != "") {
 			continue
@@ -171,7 +178,7 @@
 
 // admit makes a worker usable. From now on this planner may grant it leases.
 func (e *Engine) admit(w *worker) {
-	w.reported, e.admitted[w.ID] = true, true
+	w.reported, w.withdrawn, e.admitted[w.ID] = true, false, true
 	e.requestPass()
 }
 
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -19,6 +19,7 @@
 	lateOrderWindow   time.Duration           // how long an unanswered order may still be executed
 	listed            bool                    // is in the worker list
 	reported          bool                    // has reported under this planner lease
+	withdrawn         bool                    // receives no leases from this planner any more, until it reports again
 	admitting         bool                    // has reported, and its entry in the silent record is being removed
 	free              work.Shape              // capacity that no run reserves
 	runs              map[work.Task][]*member // unreleased members, by task
