A job is too large only if its record is

CheckSize took 6 KB off the limit of a job's own record, which only a progress record needs: a job of 256,000 to 262,100 bytes was rejected as one that can never be stored, and could have been. The limit is now that of the record with its key.

--- a/internal/core/work/size.go
+++ b/internal/core/work/size.go
@@ -8,7 +8,7 @@
 	// Upper bound of a task's state in a progress record and its share of its occurrence's, with
 	// names of workers and checkpoints of 40 bytes.
 	taskStateBytes = 128
-	// Upper bound of the rest of a progress record, and of a key.
+	// Upper bound of the rest of a progress record, with its key.
 	headBytes = 6 << 10
 )
 
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if n, limit := len(b), recordBytes-headBytes; n > limit {
+	if n, limit := len(b), recordBytes-1-len(Key(OpenRecord, j.ID)); n > limit { // one byte holds the length of the key
 		return &SizeError{What: "bytes", Size: n, Limit: limit}
 	}
 
