An append is no larger than the store accepts

Cause: the writer bounded the jobs' records of an append by 1 MiB and one more job, but neither the deletions nor the other records in it, and did not read requestBytes. The store refuses a larger call for good; the planner repeats it as in an outage, with everything behind it. Deletions of hand-ins failed in the same way and were repeated every 2 s, so these records were kept for ever.

The fix, why it works: a group takes records only while they fit in one call, and its callbacks only with the last of them. A record is at most a quarter of a call, so the state of one job fits in one. Deletions come before jobs: one that is submitted again while its old record is being deleted is not deleted with it, and one that was deleted is not written again.

No write is added below 1 MiB.

--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -43,7 +43,7 @@
 			RestoreTime: v.settings.Restore, HostLease: v.settings.HostLease, HostDowntime: v.settings.MaintenanceTime,
 		},
 		Policy:      func() *policy.Policy { return watcher.Policy() },
-		RecordBytes: v.settings.RecordBytes, MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
+		RecordBytes: v.settings.RecordBytes, RequestBytes: v.settings.RequestBytes, MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
 		SinceBoot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes,
 		Advise:   platform.NewPlacementAdvisor(v.settings.PlacementService, t),
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -10,8 +10,14 @@
 	"github.com/pkg/errors"
 )
 
-// MaxKeyBytes is the length of the longest key of a record.
-const MaxKeyBytes = 255
+const (
+	// MaxKeyBytes is the length of the longest key of a record.
+	MaxKeyBytes = 255
+	// DefaultRequestBytes is the size of the largest append of a store that states none.
+	DefaultRequestBytes = 2 << 20
+
+	lengthBytes = 4 // length prefix of each record in an append
+)
 
 var (
 	// ErrRefused means that the store did not execute the call.
@@ -81,6 +87,16 @@
 // Size returns the size of a record in the store, in bytes.
 func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) } // one byte holds the length of the key
 
+// Size returns the size of records in an append, in bytes.
+func Size(records ...Record) int {
+	n := 0
+	for _, r := range records {
+		n += lengthBytes + r.Size()
+	}
+
+	return n
+}
+
 func (e *ConditionError) Error() string { return fmt.Sprintf("topic ends at offset %d", e.End) }
 func (e *SequenceError) Error() string  { return fmt.Sprintf("sequence number %d expected", e.Expected) }
 func (e *TruncatedError) Error() string { return fmt.Sprintf("records before %d are gone", e.First) }
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -77,6 +77,7 @@
 		Log             *log.Logger
 		Name            string                             // name of this VM with its incarnation
 		RecordBytes     int                                // size of the largest record that the store accepts; 0 for work.DefaultRecordBytes
+		RequestBytes    int                                // size of the largest append, of several such records, that the store accepts; 0 for store.DefaultRequestBytes
 		MaxCalls        int                                // number of concurrent calls to workers that this VM can sustain
 		SchedulingDelay func() time.Duration               // recent scheduling delay of this process; nil if it is not measured
 		Count           func(name string, n int64)         // adds n to a counter metric
@@ -181,6 +182,7 @@
 		handin       handinState
 		acceptedAt   time.Duration
 		dirty        bool                     // waits for the next append
+		dropped      bool                     // its records are deleted: it is not written any more
 		failedOn     map[string]int           // number of failed runs, by worker
 		crashes      work.Crashes             // crashes of workers under its tasks
 		crashedAt    time.Duration            // when the newest of them was counted
@@ -195,6 +197,9 @@
 	if c.RecordBytes == 0 {
 		c.RecordBytes = work.DefaultRecordBytes
 	}
+	if c.RequestBytes == 0 {
+		c.RequestBytes = store.DefaultRequestBytes
+	}
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
--- a/internal/run/engine/retention.go
+++ b/internal/run/engine/retention.go
@@ -98,7 +98,7 @@
 	if len(all) == 0 || e.deletingHandins || e.SinceBoot() < e.deletionRetryAt {
 		return
 	}
-	all = all[:min(len(all), maxDeletions)]
+	all = e.fitDeletions(all[:min(len(all), maxDeletions)])
 	e.deletingHandins = true
 	e.background.Go(func() {
 		end, err := e.appendDeletions(all)
@@ -118,15 +118,35 @@
 	})
 }
 
+// fitDeletions returns the first of the deletions, as many as fit in an append.
+func (e *Engine) fitDeletions(all []handinDeletion) []handinDeletion {
+	bytes := 0
+	for i, d := range all {
+		if bytes += store.Size(d.records()...); bytes > e.RequestBytes {
+			return all[:i]
+		}
+	}
+
+	return all
+}
+
+// records returns the records that delete those of the keys.
+func (d handinDeletion) records() []store.Record {
+	all := make([]store.Record, 0, len(d.keys))
+	for _, key := range d.keys {
+		all = append(all, store.Record{Key: key})
+	}
+
+	return all
+}
+
 // appendDeletions deletes records from HandinTopic and returns its end after that.
 func (e *Engine) appendDeletions(all []handinDeletion) (int64, error) {
 	ctx, cancel := context.WithTimeout(e.ctx, appendTimeout)
 	defer cancel()
 	a := store.Append{Topic: HandinTopic, ExpectedEnd: -1}
 	for _, d := range all {
-		for _, key := range d.keys {
-			a.Records = append(a.Records, store.Record{Key: key})
-		}
+		a.Records = append(a.Records, d.records()...)
 	}
 
 	return e.Store.Append(ctx, a)
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	maxGroupBytes = 1 << 20                // size of the records from which no further job is added to an append
+	maxGroupBytes = 1 << 20                // size of the largest append of several jobs' records
 	appendTimeout = 900 * time.Millisecond // timeout of one attempt, because the store may not answer at all
 	appendPause   = 60 * time.Millisecond  // between attempts while the store is unavailable
 )
@@ -32,6 +32,8 @@
 
 	// group is the content of one append.
 	group struct {
+		limit     int // size of the records in the append, unless the first ones alone exceed it
+		bytes     int // their size so far
 		records   []store.Record
 		phases    map[*job]work.Phase // phases that the records make durable
 		callbacks []func(error)
@@ -84,6 +86,7 @@
 
 // drop schedules the deletion of a job's records.
 func (w *writer) drop(j *job) {
+	j.dropped = true
 	w.dropped = append(w.dropped, j)
 	w.wakeWriter()
 }
@@ -124,49 +127,68 @@
 	w.callbacks = nil
 }
 
-// nextGroup collects the next group. A callback must not be called before its job's record
-// is durable, so the group takes the callbacks only if it takes all dirty jobs.
+// nextGroup collects the next group, which is no larger than an append may be. Deletions come
+// first: a job may be submitted again after its records were deleted. A callback must not be called
+// before the records that were scheduled earlier are durable, so the group takes the callbacks only
+// if it takes all records.
 func (w *writer) nextGroup() group {
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
-	g := group{phases: map[*job]work.Phase{}}
-	size := 0
-	for len(w.dirty) > 0 && size < maxGroupBytes {
-		j := w.dirty[0]
-		w.dirty = w.dirty[1:]
-		j.dirty = false
-		size += g.add(j, w.e.recordsOf(j))
-		w.e.contain("queue", j.Queue, func() {
-			if r, due := w.e.dueQueueRecord(j.Queue); due {
-				g.records = append(g.records, r)
-			}
-		})
+	g := group{limit: min(maxGroupBytes, w.e.RequestBytes), phases: map[*job]work.Phase{}}
+	for len(w.dropped) > 0 && g.add(w.dropped[0].deletions()...) {
+		w.dropped = w.dropped[1:]
 	}
-	for _, j := range w.dropped {
-		g.records = append(g.records, store.Record{Key: work.Key(work.OpenRecord, j.ID)}, store.Record{Key: work.Key(work.ProgressRecord, j.ID)})
-		if len(j.crashes) > 0 {
-			g.records = append(g.records, store.Record{Key: work.Key(work.CrashRecord, j.ID)})
-		}
+	for len(w.dropped) == 0 && len(w.otherRecords) > 0 && g.add(w.otherRecords[0]) {
+		w.otherRecords = w.otherRecords[1:]
 	}
-	g.records = append(g.records, w.otherRecords...)
-	w.dropped, w.otherRecords = nil, nil
-	if len(w.dirty) == 0 {
+	for len(w.dropped) == 0 && len(w.otherRecords) == 0 && len(w.dirty) > 0 && w.addJob(&g, w.dirty[0]) {
+		w.dirty = w.dirty[1:]
+	}
+	if len(w.dropped) == 0 && len(w.otherRecords) == 0 && len(w.dirty) == 0 {
 		g.callbacks, w.callbacks = w.callbacks, nil
 	}
 
 	return g
 }
 
-// add adds a job's records to the group and returns their size.
-func (g *group) add(j *job, records []store.Record) int {
-	size := 0
-	for _, r := range records {
-		size += r.Size()
+// addJob adds the records of a job's state to the group, after that of its queue if it is due,
+// unless they have no room there.
+func (w *writer) addJob(g *group, j *job) bool {
+	if j.dropped {
+		return true
+	}
+	w.e.contain("queue", j.Queue, func() {
+		if r, due := w.e.dueQueueRecord(j.Queue); due && !g.add(r) {
+			w.otherRecords = append(w.otherRecords, r)
+		}
+	})
+	if len(w.otherRecords) > 0 || !g.add(w.e.recordsOf(j)...) {
+		return false
 	}
-	g.records = append(g.records, records...)
 	g.phases[j] = j.Phase
+	j.dirty = false
+
+	return true
+}
+
+// deletions returns the records that delete those of a job.
+func (j *job) deletions() []store.Record {
+	all := []store.Record{{Key: work.Key(work.OpenRecord, j.ID)}, {Key: work.Key(work.ProgressRecord, j.ID)}}
+	if len(j.crashes) > 0 {
+		all = append(all, store.Record{Key: work.Key(work.CrashRecord, j.ID)})
+	}
+
+	return all
+}
+
+// add adds records to the group unless they have no room there.
+func (g *group) add(records ...store.Record) bool {
+	if len(g.records) > 0 && g.bytes+store.Size(records...) > g.limit {
+		return false
+	}
+	g.records, g.bytes = append(g.records, records...), g.bytes+store.Size(records...)
 
-	return size
+	return true
 }
 
 // write appends a group until the outcome is known, and calls its callbacks.
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -29,6 +29,7 @@
 		PageSize  int            // records on a page of the newest records
 		PageBytes int            // size of the records from which no further one is added to a page
 		RecordMax int            // size of the largest record that the store accepts
+		AppendMax int            // size of the largest append that the store accepts
 
 		mu     sync.Mutex
 		topics map[string]*topic
@@ -72,7 +73,7 @@
 // tests cover several. random returns numbers in [0,1).
 func NewStore(random func() float64) *Store {
 	return &Store{
-		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20, RecordMax: 256 << 10,
+		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20, RecordMax: 256 << 10, AppendMax: store.DefaultRequestBytes,
 		topics: map[string]*topic{}, cutOff: map[string]bool{}, links: map[string]*link{},
 	}
 }
@@ -228,6 +229,9 @@
 			return 0, errors.Wrapf(store.ErrRefused, "record %q has %d bytes, more than %d", r.Key, n, s.RecordMax)
 		}
 	}
+	if n := store.Size(a.Records...); n > s.AppendMax {
+		return 0, errors.Wrapf(store.ErrRefused, "append of %d bytes, more than %d", n, s.AppendMax)
+	}
 	if a.ExpectedEnd >= 0 && t.end() != a.ExpectedEnd {
 		return 0, &store.ConditionError{End: t.end()}
 	}
