A job's progress is stored in parts if it is larger than a record

Cause: the progress of a job was one record. The bound of its open tasks counted 40 bytes for a worker's name and for a checkpoint; a name may have 255, and the protocol gives no bound for a checkpoint. Beyond 262,144 bytes the job failed.

The fix, why it works: the parts of a value and the record that counts them are written by one append, so a planner reads all or none of them; parts that a shorter value no longer has are deleted by the same append. If the checkpoints make it too large even so, they are left out of the record. With the longest names that the store's keys allow, the state always fits. No write is added, and values that fit in a record are written as before.

TestOversizeProgress expected a job on workers with names of 300 bytes to fail; it runs now. The test uses names of 1,000 bytes and checks in addition that the next planner starts nothing of it.

--- a/internal/core/work/progress.go
+++ b/internal/core/work/progress.go
@@ -1,6 +1,8 @@
 package work
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -49,6 +51,30 @@
 	return Encode(c)
 }
 
+// WithoutTasks returns the progress without its occurrences.
+func (p Progress) WithoutTasks() Progress {
+	p.Occurs = nil
+
+	return p
+}
+
+// WithoutCheckpoints returns a copy of the progress without the tasks' checkpoints.
+func (p Progress) WithoutCheckpoints() Progress {
+	p.Occurs = slices.Clone(p.Occurs)
+	for i := range p.Occurs {
+		p.Occurs[i].Steps = slices.Clone(p.Occurs[i].Steps)
+		for s, tasks := range p.Occurs[i].Steps {
+			tasks = slices.Clone(tasks)
+			for k := range tasks {
+				tasks[k].Saved = ""
+			}
+			p.Occurs[i].Steps[s] = tasks
+		}
+	}
+
+	return p
+}
+
 // DecodeProgress decodes a progress record and checks that it matches the given job.
 func DecodeProgress(b []byte, j *Job) (Progress, error) {
 	p, err := decodeProgress(b, j)
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -18,6 +18,7 @@
 	crashPrefix    = "x/"
 	queuePrefix    = "q/"
 	stalePrefix    = "stale/"
+	partPrefix     = "part/"
 )
 
 // Kinds of record.
@@ -30,6 +31,7 @@
 	CrashRecord                    // crashes of workers under the job's tasks; written only by the planner
 	QueueRecord                    // what jobs need to know of their queue, by the queue's name
 	StaleRecord                    // restarted workers that an order for their earlier clock may reach; written only by the planner
+	PartRecord                     // part of a value that is larger than a record; written only by the planner
 )
 
 // Kind is the kind of a record.
@@ -37,7 +39,7 @@
 
 var keyPrefixes = map[Kind]string{
 	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix, QueueRecord: queuePrefix,
-	StaleRecord: stalePrefix,
+	StaleRecord: stalePrefix, PartRecord: partPrefix,
 }
 
 // Key returns the key of a record of a job or a queue.
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -187,6 +187,7 @@
 		crashes      work.Crashes             // crashes of workers under its tasks
 		crashedAt    time.Duration            // when the newest of them was counted
 		oversize     bool                     // its progress was too large to be stored: only its end is
+		unsaved      bool                     // its checkpoints were too large to be stored
 		delayed      bool                     // occurrences that are due wait for others to end
 		doneRunTimes map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
 	}
--- a/internal/run/engine/oversize_test.go
+++ b/internal/run/engine/oversize_test.go
@@ -1,7 +1,10 @@
 package engine_test
 
 import (
+	"context"
+	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,33 +12,49 @@
 	"github.com/stretchr/testify/require"
 
 	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/run/engine"
 )
 
-// TestOversizeProgress lets the progress of a job grow larger than a record, because the names of
-// the workers are longer than expected. It guards against a refused record that holds up the work of
-// others: only that job fails, also for the next planner.
+// Limits of the store in these tests.
+const (
+	smallRecord = 12000
+	smallAppend = 4 * smallRecord
+)
+
+// limitSizes limits the sizes of records and of appends.
+func (r *rig) limitSizes() {
+	r.store.RecordMax, r.store.AppendMax = smallRecord, smallAppend
+	r.mutation.config = func(c *engine.Config) { c.RecordBytes, c.RequestBytes = smallRecord, smallAppend }
+}
+
+func wideJob(id string, tasks int) work.Job {
+	return work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: tasks, Checkpoints: true, Estimate: 6000}}}
+}
+
+// TestOversizeProgress lets the progress of a job grow larger than can be stored, because the names of
+// the workers are longer than the store's keys may be. It guards against a refused record that holds
+// up the work of others: only that job fails, also for the next planner, which starts none of its tasks.
 func TestOversizeProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const recordBytes = 12000
 		r := newRig(t, 1)
 		defer r.stop()
-		r.store.RecordMax = recordBytes
-		r.mutation.config = func(c *engine.Config) { c.RecordBytes = recordBytes }
-		r.fleet.Add(strings.Repeat("k", 300), "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		r.limitSizes()
+		r.fleet.Add(strings.Repeat("k", 1000), "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
 		for _, n := range []string{"a", "b"} {
 			r.start(n)
 			time.Sleep(time.Second)
 		}
-		submit := func(id string, tasks int) {
-			require.True(t, r.submit(work.Job{ID: id, Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: tasks}}}))
-		}
+		submit := func(id string, tasks int) { require.True(t, r.submit(wideJob(id, tasks))) }
 		submit("large", 45)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, "failed", r.state("large"))
 		submit("j1", 1)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, "completed", r.state("j1"))
+		runs := r.countRuns("large")
+		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		r.fleet.Drain(strings.Repeat("k", 1000), 0)
 		name, _ := r.planner()
 		r.kill(name)
 		time.Sleep(10 * time.Second)
@@ -43,9 +62,105 @@
 		time.Sleep(5 * time.Second)
 		require.Equal(t, "failed", r.state("large"))
 		require.Equal(t, "completed", r.state("j2"))
+		require.Equal(t, runs, r.countRuns("large"))
 
 		_, eng := r.planner()
 		err := eng.Submit(t.Context(), work.Job{ID: "wide", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 46}}})
 		require.ErrorIs(t, err, engine.ErrTooLarge)
 	})
 }
+
+// TestLongNames runs a job whose progress is larger than a record, because the names of its workers
+// are long. It guards against a job that fails, or runs again, though its tasks
+// did nothing wrong: planners are lost while it runs, and its runs go on.
+func TestLongNames(t *testing.T) {
+	const tasks = 45
+	for _, c := range []struct{ worker, checkpoint int }{{250, 0}, {250, 100}, {250, 2000}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 1)
+				defer r.stop()
+				r.limitSizes()
+				r.fleet.CheckpointName = c.checkpoint
+				r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 12 * time.Second, target.Done }
+				for i := range 3 {
+					r.fleet.Add(fmt.Sprintf("%d%s", i, strings.Repeat("k", c.worker-1)), "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+				}
+				for _, n := range []string{"a", "b", "c"} {
+					r.start(n)
+					time.Sleep(time.Second)
+				}
+				require.True(t, r.submit(wideJob("large", tasks)))
+				for range 2 {
+					time.Sleep(4 * time.Second)
+					name, _ := r.planner()
+					r.kill(name)
+				}
+				time.Sleep(20 * time.Second)
+				require.Equal(t, "completed", r.state("large"))
+				require.Equal(t, fmt.Sprintf("%d runs, 0 discarded", tasks), r.countRuns("large"))
+				require.Empty(t, r.fleet.Violations())
+			})
+		})
+	}
+}
+
+// TestLongCheckpoints stops tasks whose checkpoints are longer than one record can hold, or too long
+// to be stored at all. It guards against a job that fails for that: after the planner is lost, its
+// tasks go on from them in the one case, and from their beginning in the other.
+func TestLongCheckpoints(t *testing.T) {
+	for bytes, resumed := range map[int]bool{320: true, 3000: false} {
+		t.Run(fmt.Sprint(bytes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runLongCheckpoints(t, bytes, resumed) })
+		})
+	}
+}
+
+func runLongCheckpoints(t *testing.T, bytes int, resumed bool) {
+	const tasks = 40
+	r := newRig(t, 1)
+	defer r.stop()
+	r.limitSizes()
+	limit, restarts := r.mutation.config, atomic.Int64{}
+	r.mutation.config = func(c *engine.Config) {
+		limit(c)
+		c.Workers = watchStarts(c.Workers, func(s target.Start) {
+			if s.Run > 1 {
+				if restarts.Add(1); resumed != (s.Saved != "") {
+					t.Errorf("checkpoint %q", s.Saved)
+				}
+			}
+		})
+	}
+	r.fleet.CheckpointName = bytes
+	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 10 * time.Second, target.Done }
+	r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+	for _, n := range []string{"a", "b"} {
+		r.start(n)
+		time.Sleep(time.Second)
+	}
+	require.True(t, r.submit(wideJob("large", tasks)))
+	time.Sleep(5 * time.Second)
+	r.fleet.Drain("k0", time.Second)
+	time.Sleep(3 * time.Second)
+	r.fleet.Kill("k0")
+	name, _ := r.planner()
+	r.kill(name)
+	r.fleet.Add("k1", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+	time.Sleep(60 * time.Second)
+	require.Equal(t, "completed", r.state("large"))
+	require.EqualValues(t, tasks, restarts.Load())
+	require.Empty(t, r.fleet.Violations())
+}
+
+// watchStarts returns a client that shows each start before it is sent.
+func watchStarts(c *target.Client, f func(target.Start)) *target.Client {
+	w := *c
+	w.Start = func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
+		f(s)
+
+		return c.Start(ctx, a, s)
+	}
+
+	return &w
+}
--- a/internal/run/engine/records.go
+++ b/internal/run/engine/records.go
@@ -40,26 +40,34 @@
 
 // durableProgress returns the progress of the job as it is stored.
 func (j *job) durableProgress() work.Progress {
-	p := j.Progress
-	if j.oversize {
-		p.Occurs = nil
+	switch {
+	case j.oversize:
+		return j.Progress.WithoutTasks()
+	case j.unsaved:
+		return j.Progress.WithoutCheckpoints()
 	}
 
-	return p
+	return j.Progress
 }
 
-// recordsOf returns the records of a job's state, each of which the store accepts. The store would
-// refuse a larger one for good, with all others of the same append: the job fails. So it does if its
-// state cannot be encoded: otherwise its runs would go on unrecorded.
+// recordsOf returns the values of a job's state, each of which can be stored. The store would refuse
+// a larger one for good, with all others of the same append. If the checkpoints are what is too
+// large, they are left out: later planners start the tasks from their beginning. Otherwise the
+// job fails. So it does if its state cannot be encoded: its runs would go on unrecorded.
 func (e *Engine) recordsOf(j *job) []store.Record {
-	tooLarge := func(r store.Record) bool { return r.Size() > e.RecordBytes }
 	all, err := j.records()
-	if err == nil && !slices.ContainsFunc(all, tooLarge) {
+	if err == nil && !slices.ContainsFunc(all, e.tooLarge) {
 		return all
 	}
+	if err == nil && !j.unsaved {
+		j.unsaved = true
+		e.Log.Warn().Str("event", "checkpoints-not-stored").Str("id", j.ID).Int("limit", e.maxValue()).Msg("")
+
+		return e.recordsOf(j)
+	}
 	j.oversize = true
 	if !j.Phase.Final() {
-		e.Log.Error().Str("event", "job-failed").Str("id", j.ID).Int("code", int(code.TooLarge)).Int("limit", e.RecordBytes).Err(err).Msg("")
+		e.Log.Error().Str("event", "job-failed").Str("id", j.ID).Int("code", int(code.TooLarge)).Int("limit", e.maxValue()).Err(err).Msg("")
 		e.endJob(j, work.Failed)
 	}
 	if all, err = j.records(); err != nil {
@@ -67,16 +75,21 @@
 	}
 
 	return slices.DeleteFunc(all, func(r store.Record) bool {
-		if tooLarge(r) {
+		if e.tooLarge(r) {
 			e.logTooLarge(r)
 		}
 
-		return tooLarge(r)
+		return e.tooLarge(r)
 	})
 }
 
-// logTooLarge logs that a record is not written because the store would refuse it for good.
+// tooLarge reports whether a value cannot be stored, not even in parts.
+func (e *Engine) tooLarge(r store.Record) bool {
+	return len(r.Key) > store.MaxKeyBytes || (r.Size() > e.RecordBytes && len(r.Value) > e.maxValue())
+}
+
+// logTooLarge logs that a value is not written because the store would refuse it for good.
 func (e *Engine) logTooLarge(r store.Record) {
 	e.Log.Error().Str("event", "record-too-large").Str("key", r.Key).Int("code", int(code.TooLarge)).Int("bytes", r.Size()).
-		Int("limit", e.RecordBytes).Msg("")
+		Int("limit", e.maxValue()).Msg("")
 }
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -140,6 +140,8 @@
 func (e *Engine) rebuildJobs(jobs, handins []store.Record) {
 	e.jobs, e.active, e.units = map[string]*job{}, nil, map[string]*unit{}
 	progress, crashes := map[string][]byte{}, map[string][]byte{}
+	jobs, e.writer.parts = joinParts(jobs)
+	e.deleteOrphanParts(jobs)
 	for _, r := range jobs {
 		switch kind, id := work.ParseKey(r.Key); kind {
 		case work.ProgressRecord:
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -23,8 +23,9 @@
 		e            *Engine
 		dirty        []*job         // jobs whose state has changed since it was last written
 		dropped      []*job         // jobs whose records are to be deleted
-		otherRecords []store.Record // records that belong to no job
-		callbacks    []func(error)  // to be called once all changes before them are durable
+		otherRecords []store.Record // values that belong to no job
+		parts        partCounts
+		callbacks    []func(error) // to be called once all changes before them are durable
 		wake         chan struct{}
 		next         int64 // sequence number of the next append
 		stopped      bool
@@ -43,6 +44,7 @@
 func (w *writer) init(e *Engine) {
 	w.e = e
 	w.wake = make(chan struct{}, 1)
+	w.parts = partCounts{}
 }
 
 // put schedules a job's state for the next append. The callback f is called under the
@@ -70,11 +72,11 @@
 	w.wakeWriter()
 }
 
-// putRecord schedules a record that belongs to no job. The callback f is called like that
-// of put.
+// putRecord schedules a value that belongs to no job; an empty one deletes the key. The callback f is
+// called like that of put.
 func (w *writer) putRecord(key string, value []byte, f func(error)) {
 	r := store.Record{Key: key, Value: value}
-	if r.Size() > w.e.RecordBytes {
+	if w.e.tooLarge(r) {
 		w.e.logTooLarge(r)
 		f(ErrTooLarge)
 
@@ -135,10 +137,10 @@
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
 	g := group{limit: min(maxGroupBytes, w.e.RequestBytes), phases: map[*job]work.Phase{}}
-	for len(w.dropped) > 0 && g.add(w.dropped[0].deletions()...) {
+	for len(w.dropped) > 0 && w.add(&g, w.dropped[0].deletions()...) {
 		w.dropped = w.dropped[1:]
 	}
-	for len(w.dropped) == 0 && len(w.otherRecords) > 0 && g.add(w.otherRecords[0]) {
+	for len(w.dropped) == 0 && len(w.otherRecords) > 0 && w.add(&g, w.otherRecords[0]) {
 		w.otherRecords = w.otherRecords[1:]
 	}
 	for len(w.dropped) == 0 && len(w.otherRecords) == 0 && len(w.dirty) > 0 && w.addJob(&g, w.dirty[0]) {
@@ -158,11 +160,11 @@
 		return true
 	}
 	w.e.contain("queue", j.Queue, func() {
-		if r, due := w.e.dueQueueRecord(j.Queue); due && !g.add(r) {
+		if r, due := w.e.dueQueueRecord(j.Queue); due && !w.add(g, r) {
 			w.otherRecords = append(w.otherRecords, r)
 		}
 	})
-	if len(w.otherRecords) > 0 || !g.add(w.e.recordsOf(j)...) {
+	if len(w.otherRecords) > 0 || !w.add(g, w.e.recordsOf(j)...) {
 		return false
 	}
 	g.phases[j] = j.Phase
@@ -171,6 +173,25 @@
 	return true
 }
 
+// add adds values to the group unless they have no room there. Each has been found not to be too
+// large.
+func (w *writer) add(g *group, values ...store.Record) bool {
+	var all []store.Record
+	for _, r := range values {
+		records, err := w.parts.split(r, w.e.RecordBytes)
+		if err != nil {
+			w.e.Log.Error().Str("event", "record-not-encoded").Str("key", r.Key).Err(err).Msg("")
+		}
+		all = append(all, records...)
+	}
+	if !g.add(all...) {
+		return false
+	}
+	w.parts.note(all)
+
+	return true
+}
+
 // deletions returns the records that delete those of a job.
 func (j *job) deletions() []store.Record {
 	all := []store.Record{{Key: work.Key(work.OpenRecord, j.ID)}, {Key: work.Key(work.ProgressRecord, j.ID)}}
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -141,7 +141,7 @@
 		return clock, target.ErrStaleRun
 	}
 	length, how := f.Outcome(s.Task, s.Run, w.ID)
-	r := &activeRun{task: s.Task, run: s.Run, started: time.Now(), length: length, plannedEnd: how, percent: 100}
+	r := &activeRun{task: s.Task, run: s.Run, started: time.Now(), length: length, plannedEnd: how, percent: 100, nameBytes: f.CheckpointName}
 	r.record = f.Journal.recordStart(w, s)
 	w.runs[s.Task] = r
 
--- a/internal/standin/fleet/run.go
+++ b/internal/standin/fleet/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"sesameyoke/internal/core/work"
@@ -20,6 +21,7 @@
 	length      time.Duration // work until the run ends by itself
 	plannedEnd  target.How    // how the run ends when its work is done
 	killAt      time.Time     // end of the grace period of a stop; zero without a stop
+	nameBytes   int           // least length of a checkpoint's name
 	percent     int           // pace of the run, in percent of full speed
 	missedSince time.Time     // since when the run misses its latency target; zero while it meets it
 	record      *RunRecord
@@ -32,7 +34,9 @@
 		return ""
 	}
 
-	return fmt.Sprintf("%s.%d.%d", r.task.Job, r.run, int(r.workDone.Seconds()))
+	name := fmt.Sprintf("%s.%d.%d", r.task.Job, r.run, int(r.workDone.Seconds()))
+
+	return name + strings.Repeat("+", max(0, r.nameBytes-len(name)))
 }
 
 // progress returns the percentage of the run's work that is done. An endless run reaches
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -38,6 +38,7 @@
 		SpreadSlowdown float64
 		Random         func() float64 // returns a number in [0,1)
 		EndsPerReport  int            // largest number of ends in a report
+		CheckpointName int            // least length of a checkpoint's name, in bytes
 		// Outcome returns the length of a run, as work at full speed, and how it ends.
 		Outcome func(task work.Task, run int64, worker string) (time.Duration, target.How)
 		// ListLag returns how long a change of the list takes to become visible. Changes stay in
