Crash counts of ended tasks are dropped

Cause: the record of the crashes under a job's tasks kept the counts of tasks that had ended. It grows with each occurrence, and a job whose records are too large fails.

The fix, why it works: counts only decide whether a task is started again, so those of tasks that are done, or whose occurrence has ended, are dropped when the job is written. The rest is bounded by the number of open tasks.

--- a/internal/core/work/crashes.go
+++ b/internal/core/work/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,6 +36,11 @@
 	}
 )
 
+// DropEnded removes the counts of tasks that are not started again.
+func (c Crashes) DropEnded(p Progress) {
+	maps.DeleteFunc(c, func(t Task, _ TaskCrashes) bool { return p.ended(t) })
+}
+
 // Encode encodes the counts as a record. Equal counts give equal records.
 func (c Crashes) Encode() ([]byte, error) {
 	rows := make([]crashesRow, 0, len(c))
--- a/internal/core/work/state.go
+++ b/internal/core/work/state.go
@@ -69,6 +69,19 @@
 // Final reports whether the job has ended.
 func (p Phase) Final() bool { return p >= Completed }
 
+// ended reports whether a task is done, or its occurrence is.
+func (p Progress) ended(t Task) bool {
+	if t.Occur >= len(p.Occurs) {
+		return false
+	}
+	o := &p.Occurs[t.Occur]
+	if o.Ended {
+		return true
+	}
+
+	return t.Step < len(o.Steps) && t.Index < len(o.Steps[t.Step]) && o.Steps[t.Step][t.Index].Phase == Done
+}
+
 // NewOccurrence returns the initial state of an occurrence.
 func NewOccurrence(j *Job) Occurrence {
 	o := Occurrence{Steps: make([][]TaskState, len(j.Steps))}
--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -253,6 +253,7 @@
 
 // applyCrashes applies the crash record that a previous planner wrote for a job.
 func (e *Engine) applyCrashes(j *job, b []byte) {
+	j.crashesStored = true
 	c, err := work.DecodeCrashes(b, j.ID)
 	if err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("id", j.ID).Err(err).Msg("")
--- a/internal/run/engine/oversize_test.go
+++ b/internal/run/engine/oversize_test.go
@@ -153,6 +153,41 @@
 	require.Empty(t, r.fleet.Violations())
 }
 
+// TestCrashesOfEndedTasks lets workers crash under each occurrence of a recurring job. It guards
+// against a record of crashes that grows with the occurrences that have ended: the job failed when it
+// had outgrown what the store accepts.
+func TestCrashesOfEndedTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks, times, interval = 12, 90, 8000
+		r := newRig(t, 1)
+		defer r.stop()
+		r.limitSizes()
+		r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 3 * time.Second, target.Done }
+		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		for _, n := range []string{"a", "b"} {
+			r.start(n)
+			time.Sleep(time.Second)
+		}
+		j := work.Job{ID: "j", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: tasks, Estimate: 3000}}}
+		j.Times, j.First, j.Interval = times, time.Now().Add(time.Second).UnixMilli(), interval
+		require.True(t, r.submit(j))
+		time.Sleep(time.Second)
+		largest := 0
+		for range times {
+			time.Sleep(2500 * time.Millisecond)
+			r.fleet.Crash("k0")
+			time.Sleep(interval*time.Millisecond - 2500*time.Millisecond)
+			largest = max(largest, len(r.store.Value(engine.JobsTopic, work.Key(work.CrashRecord, "j"))))
+		}
+		time.Sleep(time.Minute)
+		require.Positive(t, largest)
+		require.Less(t, largest, 64*work.MaxOpenTasks(smallRecord))
+		require.Equal(t, "completed", r.state("j"))
+		require.NotContains(t, r.store.Keys(engine.JobsTopic), work.Key(work.CrashRecord, "j"))
+		require.Empty(t, r.fleet.Violations())
+	})
+}
+
 // watchStarts returns a client that shows each start before it is sent.
 func watchStarts(c *target.Client, f func(target.Start)) *target.Client {
 	w := *c
--- a/internal/run/engine/records.go
+++ b/internal/run/engine/records.go
@@ -27,17 +27,31 @@
 		}
 		all = append(all, store.Record{Key: work.Key(work.ProgressRecord, j.ID), Value: b})
 	}
-	if len(j.crashes) > 0 && !j.oversize {
-		b, err := j.crashes.Encode()
-		if err != nil {
-			return nil, errors.Wrapf(err, "crashes of job %q", j.ID)
-		}
-		all = append(all, store.Record{Key: work.Key(work.CrashRecord, j.ID), Value: b})
+	r, err := j.crashRecord()
+	if err != nil {
+		return nil, errors.Wrapf(err, "crashes of job %q", j.ID)
+	}
+	if len(r.Value) > 0 || j.crashesStored {
+		all = append(all, r)
 	}
 
 	return all, nil
 }
 
+// crashRecord returns the record of the crashes under tasks that may be started again; without a
+// value if there are none.
+func (j *job) crashRecord() (store.Record, error) {
+	r := store.Record{Key: work.Key(work.CrashRecord, j.ID)}
+	j.crashes.DropEnded(j.Progress)
+	if len(j.crashes) == 0 || j.oversize {
+		return r, nil
+	}
+	var err error
+	r.Value, err = j.crashes.Encode()
+
+	return r, err
+}
+
 // durableProgress returns the progress of the job as it is stored.
 func (j *job) durableProgress() work.Progress {
 	switch {
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -164,9 +164,11 @@
 			w.otherRecords = append(w.otherRecords, r)
 		}
 	})
-	if len(w.otherRecords) > 0 || !w.add(g, w.e.recordsOf(j)...) {
+	records := w.e.recordsOf(j)
+	if len(w.otherRecords) > 0 || !w.add(g, records...) {
 		return false
 	}
+	j.crashesStored = len(j.crashes) > 0 && !j.oversize
 	g.phases[j] = j.Phase
 	j.dirty = false
 
@@ -195,7 +197,7 @@
 // deletions returns the records that delete those of a job.
 func (j *job) deletions() []store.Record {
 	all := []store.Record{{Key: work.Key(work.OpenRecord, j.ID)}, {Key: work.Key(work.ProgressRecord, j.ID)}}
-	if len(j.crashes) > 0 {
+	if j.crashesStored {
 		all = append(all, store.Record{Key: work.Key(work.CrashRecord, j.ID)})
 	}
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -98,6 +98,14 @@
 	_, _ = s.apply(store.Append{Topic: topic, ExpectedEnd: -1, Records: []store.Record{{Key: key, Value: value}}})
 }
 
+// Value returns the newest value of a key of a topic; nil if there is none.
+func (s *Store) Value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.topic(name).newest[key].Value
+}
+
 // Keys returns the sorted keys of a topic's newest records.
 func (s *Store) Keys(name string) []string {
 	s.mu.Lock()
