Unreadable crash counts make each task a suspect

Cause: a record that can't be read counted as "no crashes".

Evidence: TestUnreadableCrashes: after two crashes the record is replaced and the planner lost. Before, the task was started three times more, 5 in all; now it is given up after 4.

The fix, why it works: each task of the job that may be started again counts as the possible cause of one crash. One that crashes its workers is given up after two more; one that doesn't is cleared by its next run, as any suspect.

--- a/internal/core/work/crashes.go
+++ b/internal/core/work/crashes.go
@@ -36,6 +36,22 @@
 	}
 )
 
+// SuspectAll returns counts for a job whose record cannot be read: each task that may be started again
+// counts as the possible cause of one crash, so that it is given up sooner.
+func SuspectAll(j *Job, p Progress) Crashes {
+	c := Crashes{}
+	for o := range p.Occurs {
+		for s := range p.Occurs[o].Steps {
+			for i := range p.Occurs[o].Steps[s] {
+				c[Task{Job: j.ID, Occur: o, Step: s, Index: i}] = TaskCrashes{Blamed: 1}
+			}
+		}
+	}
+	c.DropEnded(p)
+
+	return c
+}
+
 // DropEnded removes the counts of tasks that are not started again.
 func (c Crashes) DropEnded(p Progress) {
 	maps.DeleteFunc(c, func(t Task, _ TaskCrashes) bool { return p.ended(t) })
--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -257,8 +257,7 @@
 	c, err := work.DecodeCrashes(b, j.ID)
 	if err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("id", j.ID).Err(err).Msg("")
-
-		return
+		c = work.SuspectAll(&j.Job, j.Progress)
 	}
 	j.crashes, j.crashedAt = c, e.SinceBoot()
 }
--- a/internal/run/engine/oversize_test.go
+++ b/internal/run/engine/oversize_test.go
@@ -188,6 +188,43 @@
 	})
 }
 
+// TestUnreadableCrashes replaces the record of the crashes under a task by one that can't be read, and
+// loses the planner. It guards against a task that is started again as often as if no worker had
+// crashed under it.
+func TestUnreadableCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		for i := range 8 {
+			r.fleet.Add(fmt.Sprintf("k%d", i), "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		}
+		r.fleet.SetDeadly(func(work.Task) (time.Duration, bool) { return 10 * time.Millisecond, true }, false)
+		for _, n := range []string{"a", "b", "c"} {
+			r.start(n)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+		key := work.Key(work.CrashRecord, "j")
+		require.True(t, r.submit(wideJob("j", 1)))
+		var counted work.TaskCrashes
+		for counted.Blamed < 2 {
+			time.Sleep(time.Millisecond)
+			if b := r.store.Value(engine.JobsTopic, key); len(b) > 0 {
+				all, err := work.DecodeCrashes(b, "j")
+				require.NoError(t, err)
+				counted = all[work.Task{Job: "j"}]
+			}
+		}
+		name, _ := r.planner()
+		r.kill(name)
+		require.Len(t, r.fleet.Runs(), 2)
+		r.store.Put(engine.JobsTopic, key, []byte("\xff\xff"))
+		time.Sleep(2 * time.Minute)
+		require.Equal(t, "failed", r.state("j"))
+		require.Len(t, r.fleet.Runs(), 4)
+	})
+}
+
 // watchStarts returns a client that shows each start before it is sent.
 func watchStarts(c *target.Client, f func(target.Start)) *target.Client {
 	w := *c
