A later planner counts the stale orders that have no room in the record

What could happen (TWICE): many workers restart while orders to them are unanswered, and the planner is lost. Its successor starts their tasks elsewhere, and a late order extends the lease of the earlier run.

Cause: the record of these workers had no bound; one that was larger than a record was not written. One that couldn't be read counted as "none". It was also encoded and queued anew for each worker.

The fix, why it works: names that have no room are replaced by one entry, with the longest time left among them, which counts for every worker that isn't named. An unreadable record counts as that entry with the longest time that such an order can take and give. The content is determined when it is appended, so that all changes until then share one append.

--- a/internal/run/engine/lateorder_test.go
+++ b/internal/run/engine/lateorder_test.go
@@ -54,6 +54,25 @@
 	}
 }
 
+// TestLateOrderUnreadableRecord is TestLateOrderAfterTakeover with a record of these orders that can't
+// be read. It guards against a successor that takes it for an empty one.
+func TestLateOrderUnreadableRecord(t *testing.T) {
+	for _, late := range []string{"start", "renewal"} {
+		for seed := range uint64(lateTakeoverSeeds) {
+			t.Run(fmt.Sprintf("%s/%d", late, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runLateOrder(t, late, seed, func(r *rig) {
+						r.kill("a")
+						time.Sleep(10 * time.Millisecond)
+						r.store.Put(engine.JobsTopic, work.Key(work.StaleRecord, ""), []byte("\xff\xff"))
+						r.start("b")
+					})
+				})
+			})
+		}
+	}
+}
+
 // runLateOrder runs a case, and calls after when the worker has been cut off.
 func runLateOrder(t *testing.T, late string, seed uint64, after func(r *rig)) {
 	rnd := rand.New(rand.NewPCG(seed, 4))
--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -80,7 +80,7 @@
 		var got error
 		e.writer.putRecord(r.Key, r.Value, func(err error) { got = err })
 		require.ErrorIs(t, got, ErrTooLarge)
-		require.Empty(t, e.writer.otherRecords)
+		require.Empty(t, e.writer.others)
 	}
 }
 
--- a/internal/run/engine/silent.go
+++ b/internal/run/engine/silent.go
@@ -109,9 +109,8 @@
 // recordSilent writes the silent record unless it is and stays empty.
 func (e *Engine) recordSilent() {
 	e.withdrawGone()
-	silent := e.silentWorkers()
-	if len(silent) > 0 || len(e.silent) > 0 {
-		e.writeSilent(silent, func(error) {})
+	if len(e.silent) > 0 || len(e.silentWorkers()) > 0 {
+		e.writeSilent(func(error) {})
 	}
 }
 
@@ -142,7 +141,7 @@
 // recordGrants writes the silent record of this planner before it grants the first lease: if a
 // later planner finds another one's, this one has granted none.
 func (e *Engine) recordGrants() {
-	e.writeSilent(e.silentWorkers(), func(err error) { e.grantRecorded = e.grantRecorded || err == nil })
+	e.writeSilent(func(err error) { e.grantRecorded = e.grantRecorded || err == nil })
 }
 
 // admitReports makes a worker that has reported usable. The silent record of this planner must
@@ -153,7 +152,7 @@
 		return
 	case e.silent[w.ID]:
 		w.admitting = true
-		e.writeSilent(e.silentWorkers(), e.admitWhenDurable(w))
+		e.writeSilent(e.admitWhenDurable(w))
 	case !e.grantRecorded:
 		w.admitting = true
 		e.writer.after(e.admitWhenDurable(w))
@@ -195,21 +194,22 @@
 }
 
 // writeSilent schedules the silent record. The callback is called like that of writer.put.
-func (e *Engine) writeSilent(silent map[string]silentWorker, f func(error)) {
-	e.fitSilent(silent)
-	b, err := work.Encode(silentRecord{Token: e.Lease.Token, Workers: silent})
-	if err != nil {
-		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.SilentRecord, "")).Err(err).Msg("")
+func (e *Engine) writeSilent(f func(error)) {
+	var silent map[string]silentWorker
+	number := 0
+	write := func() ([]byte, error) {
+		silent = e.silentWorkers()
+		e.fitSilent(silent)
+		for worker := range silent {
+			e.silent[worker] = true
+		}
+		e.silentWrites++
+		number = e.silentWrites
 
-		return
-	}
-	for worker := range silent {
-		e.silent[worker] = true
+		return work.Encode(silentRecord{Token: e.Lease.Token, Workers: silent})
 	}
-	e.silentWrites++
-	number := e.silentWrites
-	e.writer.putRecord(work.Key(work.SilentRecord, ""), b, func(err error) {
-		if err == nil && number == e.silentWrites {
+	e.writer.putContent(work.Key(work.SilentRecord, ""), write, func(err error) {
+		if err == nil && number != 0 && number == e.silentWrites {
 			maps.DeleteFunc(e.silent, func(worker string, _ bool) bool {
 				_, listed := silent[worker]
 
--- a/internal/run/engine/stale.go
+++ b/internal/run/engine/stale.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -8,6 +10,13 @@
 	"sesameyoke/internal/core/work"
 )
 
+const (
+	// Size of an entry of the record without the worker's name, at most.
+	staleEntryBytes = 12
+	// Size of its key and its other fields, with the entry for all other workers, at most.
+	staleHeadBytes = 64
+)
+
 // staleRecord lists the restarted workers whose lease may be extended by an unanswered order with a
 // deadline on their earlier clock, so that the next planner counts these orders too.
 type staleRecord struct {
@@ -33,30 +42,52 @@
 	return all
 }
 
+// anyWorker is the entry of the record for all workers that it doesn't name.
+const anyWorker = ""
+
 // recordNewStale writes the record if it lacks a worker.
 func (e *Engine) recordNewStale(w *worker) {
 	if _, recorded := e.recordedStale[w.ID]; !recorded && w.staleForSuccessor() > e.SinceBoot() {
-		e.recordStale()
+		e.scheduleStale()
 	}
 }
 
 // recordStale writes the record unless it is and stays empty; without any worker, it deletes it.
 func (e *Engine) recordStale() {
-	stale := e.staleWorkers()
-	if len(stale) == 0 && len(e.recordedStale) == 0 {
-		return
+	if len(e.recordedStale) > 0 || len(e.staleWorkers()) > 0 {
+		e.scheduleStale()
 	}
+}
+
+func (e *Engine) scheduleStale() {
+	e.writer.putContent(work.Key(work.StaleRecord, ""), e.encodeStale, func(error) {})
+}
+
+// encodeStale returns the content of the record; none without any worker.
+func (e *Engine) encodeStale() ([]byte, error) {
+	stale := e.staleWorkers()
 	e.recordedStale = stale
-	var b []byte
-	if len(stale) > 0 {
-		var err error
-		if b, err = work.Encode(staleRecord{Workers: stale}); err != nil {
-			e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.StaleRecord, "")).Err(err).Msg("")
+	if len(stale) == 0 {
+		return nil, nil
+	}
 
-			return
+	return work.Encode(staleRecord{Workers: e.fitStale(stale)})
+}
+
+// fitStale returns the content that fits in one record. The workers for which it has no room share an
+// entry, which later planners apply to all that are not named.
+func (e *Engine) fitStale(stale map[string]int64) map[string]int64 {
+	room := e.RecordBytes - staleHeadBytes
+	fitting := map[string]int64{}
+	for _, name := range slices.Sorted(maps.Keys(stale)) {
+		if room -= len(name) + staleEntryBytes; room >= 0 {
+			fitting[name] = stale[name]
+		} else {
+			fitting[anyWorker] = max(fitting[anyWorker], stale[name])
 		}
 	}
-	e.writer.putRecord(work.Key(work.StaleRecord, ""), b, func(error) {})
+
+	return fitting
 }
 
 // loadStale applies the record of the previous planners, which was written before they were fenced.
@@ -64,16 +95,25 @@
 	var r staleRecord
 	if err := cbor.Unmarshal(b, &r); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.StaleRecord, "")).Err(err).Msg("")
-
-		return
+		r.Workers = map[string]int64{anyWorker: (e.Timing.LateOrderWindow + e.maxLease()).Milliseconds() + 1}
 	}
 	e.recordedStale = r.Workers
+	defer e.applyStale()
 	for id, left := range r.Workers {
 		until := e.fencedAt + time.Duration(left)*time.Millisecond
 		e.inheritedStale[id] = until
-		if w := e.workers[id]; w != nil {
-			w.notExpiredBefore = max(w.notExpiredBefore, until)
-		}
 		e.Log.Info().Str("event", "stale-inherited").Str("worker", id).Dur("leased", until-e.SinceBoot()).Msg("")
 	}
 }
+
+// applyStale applies what the record of the previous planners tells to the workers that are listed.
+func (e *Engine) applyStale() {
+	for _, w := range e.workers {
+		w.notExpiredBefore = max(w.notExpiredBefore, e.inheritedStaleUntil(w.ID))
+	}
+}
+
+// inheritedStaleUntil returns until when stale orders of previous planners count for a worker.
+func (e *Engine) inheritedStaleUntil(id string) time.Duration {
+	return max(e.inheritedStale[id], e.inheritedStale[anyWorker])
+}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -61,7 +61,7 @@
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStale[w.ID], free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -20,17 +20,22 @@
 type (
 	// writer makes state changes durable and groups many of them into one append.
 	writer struct {
-		e            *Engine
-		dirty        []*job         // jobs whose state has changed since it was last written
-		dropped      []*job         // jobs whose records are to be deleted
-		otherRecords []store.Record // values that belong to no job
-		parts        partCounts
-		callbacks    []func(error) // to be called once all changes before them are durable
-		wake         chan struct{}
-		next         int64 // sequence number of the next append
-		stopped      bool
+		e         *Engine
+		dirty     []*job   // jobs whose state has changed since it was last written
+		dropped   []*job   // jobs whose records are to be deleted
+		others    []string // keys of the values that belong to no job, in the order of the next appends
+		contents  map[string]content
+		parts     partCounts
+		callbacks []func(error) // to be called once all changes before them are durable
+		wake      chan struct{}
+		next      int64 // sequence number of the next append
+		stopped   bool
 	}
 
+	// content returns a value when it is appended. It is called under the engine's lock; an empty
+	// value deletes the key.
+	content func() ([]byte, error)
+
 	// group is the content of one append.
 	group struct {
 		limit     int // size of the records in the append, unless the first ones alone exceed it
@@ -44,7 +49,7 @@
 func (w *writer) init(e *Engine) {
 	w.e = e
 	w.wake = make(chan struct{}, 1)
-	w.parts = partCounts{}
+	w.parts, w.contents = partCounts{}, map[string]content{}
 }
 
 // put schedules a job's state for the next append. The callback f is called under the
@@ -82,7 +87,16 @@
 
 		return
 	}
-	w.otherRecords = append(w.otherRecords, r)
+	w.putContent(key, func() ([]byte, error) { return value, nil }, f)
+}
+
+// putContent schedules a value like putRecord, but determines it when it is appended. It replaces one
+// of the same key that waits for that, so that many changes in a short time share an append.
+func (w *writer) putContent(key string, c content, f func(error)) {
+	if _, waits := w.contents[key]; !waits {
+		w.others = append(w.others, key)
+	}
+	w.contents[key] = c
 	w.after(f)
 }
 
@@ -140,13 +154,14 @@
 	for len(w.dropped) > 0 && w.add(&g, w.dropped[0].deletions()...) {
 		w.dropped = w.dropped[1:]
 	}
-	for len(w.dropped) == 0 && len(w.otherRecords) > 0 && w.add(&g, w.otherRecords[0]) {
-		w.otherRecords = w.otherRecords[1:]
+	for len(w.dropped) == 0 && len(w.others) > 0 && w.addOther(&g, w.others[0]) {
+		delete(w.contents, w.others[0])
+		w.others = w.others[1:]
 	}
-	for len(w.dropped) == 0 && len(w.otherRecords) == 0 && len(w.dirty) > 0 && w.addJob(&g, w.dirty[0]) {
+	for len(w.dropped) == 0 && len(w.others) == 0 && len(w.dirty) > 0 && w.addJob(&g, w.dirty[0]) {
 		w.dirty = w.dirty[1:]
 	}
-	if len(w.dropped) == 0 && len(w.otherRecords) == 0 && len(w.dirty) == 0 {
+	if len(w.dropped) == 0 && len(w.others) == 0 && len(w.dirty) == 0 {
 		g.callbacks, w.callbacks = w.callbacks, nil
 	}
 
@@ -161,11 +176,11 @@
 	}
 	w.e.contain("queue", j.Queue, func() {
 		if r, due := w.e.dueQueueRecord(j.Queue); due && !w.add(g, r) {
-			w.otherRecords = append(w.otherRecords, r)
+			w.putRecord(r.Key, r.Value, func(error) {})
 		}
 	})
 	records := w.e.recordsOf(j)
-	if len(w.otherRecords) > 0 || !w.add(g, records...) {
+	if len(w.others) > 0 || !w.add(g, records...) {
 		return false
 	}
 	j.crashesStored = len(j.crashes) > 0 && !j.oversize
@@ -175,6 +190,22 @@
 	return true
 }
 
+// addOther adds a value that belongs to no job to the group unless it has no room there.
+func (w *writer) addOther(g *group, key string) bool {
+	b, err := w.contents[key]()
+	r := store.Record{Key: key, Value: b}
+	switch {
+	case err != nil:
+		w.e.Log.Error().Str("event", "record-not-encoded").Str("key", key).Err(err).Msg("")
+	case w.e.tooLarge(r):
+		w.e.logTooLarge(r)
+	default:
+		return w.add(g, r)
+	}
+
+	return true
+}
+
 // add adds values to the group unless they have no room there. Each has been found not to be too
 // large.
 func (w *writer) add(g *group, values ...store.Record) bool {
