A failed write of a wave's orders forgets only what it would have added

What could happen (LIMIT): a planner takes more hosts of a wave down than allowed.

Cause: when the record of the orders of a decision could not be written, the planner forgot all their hosts, also those with an earlier order that was still unanswered. The next record, or its deletion, then lacked them, and a later planner didn't count them as perhaps down.

Evidence: TestOrdersNotRecorded: the write of two orders fails, one of which is unanswered. Before, the next record was without that one.

The fix, why it works: what was recorded before stays in the record until it is answered.

--- a/internal/run/engine/waveorders.go
+++ b/internal/run/engine/waveorders.go
@@ -20,12 +20,14 @@
 // sent.
 func (e *Engine) recordOrders(ctx context.Context, w *wave, names []string) bool {
 	e.mu.Lock()
-	added := false
+	var added []string
 	for _, name := range names {
-		added = added || !w.ordered[name]
-		w.ordered[name] = true
+		if !w.ordered[name] {
+			added = append(added, name)
+			w.ordered[name] = true
+		}
 	}
-	if !added {
+	if len(added) == 0 {
 		e.mu.Unlock()
 
 		return true
@@ -36,10 +38,10 @@
 	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
 	if err := await(ctx, done); err != nil {
-		e.Log.Warn().Str("event", "orders-not-recorded").Int("wave", w.Number).Int("hosts", len(names)).Err(err).Msg("")
+		e.Log.Warn().Str("event", "orders-not-recorded").Int("wave", w.Number).Int("hosts", len(added)).Err(err).Msg("")
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		for _, name := range names {
+		for _, name := range added { // the others may have an order that is unanswered
 			delete(w.ordered, name) // recorded again before the next attempt
 		}
 
