Unreadable orders of a wave count for each of its hosts

What could happen (LIMIT): the planner is lost while an order to take a host down is unanswered, and its successor can't read the record of these orders. It takes another host down, and the late order a second one.

Cause: a record that can't be read counted as "no order is unanswered".

The fix, why it works: each host of the wave counts as perhaps down for as long as such an order can take. Then the wave goes on.

--- a/internal/run/engine/latewave_test.go
+++ b/internal/run/engine/latewave_test.go
@@ -24,12 +24,27 @@
 func TestLateMaintenanceAfterTakeover(t *testing.T) {
 	for seed := range uint64(lateWaveSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runLateWave(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runLateWave(t, seed, func(*rig) {}) })
 		})
 	}
 }
 
-func runLateWave(t *testing.T, seed uint64) {
+// TestLateMaintenanceUnreadableRecord is TestLateMaintenanceAfterTakeover with a record of the orders
+// that can't be read. It guards against a successor that takes it for an empty one.
+func TestLateMaintenanceUnreadableRecord(t *testing.T) {
+	for seed := range uint64(lateWaveSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runLateWave(t, seed, func(r *rig) {
+					r.store.Put(engine.JobsTopic, work.WaveKey(1)+"/orders", []byte("\xff\xff"))
+				})
+			})
+		})
+	}
+}
+
+// runLateWave runs a case, and calls lost when the planner is lost.
+func runLateWave(t *testing.T, seed uint64, lost func(r *rig)) {
 	r := newRig(t, seed)
 	sent := make(chan struct{})
 	delay := 2*time.Second + time.Duration(seed)*500*time.Millisecond
@@ -49,6 +64,7 @@
 	<-sent
 	time.Sleep(100 * time.Millisecond)
 	r.kill("a")
+	lost(r)
 	// The successor takes the other hosts down first, while the first one has a run.
 	require.True(t, r.submit(work.Job{
 		ID: "j", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 1, Need: work.Shape{CPU: 1000}, Estimate: 20000, Rack: "r0"}},
--- a/internal/run/engine/waveorders.go
+++ b/internal/run/engine/waveorders.go
@@ -12,8 +12,12 @@
 	"sesameyoke/internal/core/work"
 )
 
-// Suffix of the key of the record of a wave's orders, after that of the wave.
-const waveOrdersSuffix = "/orders"
+const (
+	// Suffix of the key of the record of a wave's orders, after that of the wave.
+	waveOrdersSuffix = "/orders"
+	// Name that stands for each host of the wave, where the record of previous planners cannot be read.
+	anyHost = ""
+)
 
 // recordOrders makes it durable that hosts of a wave may be ordered down, so that a later planner
 // counts an order that this one leaves unanswered. It returns false if that fails: then none may be
@@ -85,14 +89,13 @@
 		return false
 	}
 	n, err := strconv.Atoi(number)
-	var names []string
-	if err == nil {
-		err = cbor.Unmarshal(b, &names)
-	}
 	if err != nil {
+		return false
+	}
+	var names []string
+	if err := cbor.Unmarshal(b, &names); err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", work.Key(work.WaveRecord, id)).Err(err).Msg("")
-
-		return true
+		names = []string{anyHost}
 	}
 	e.inheritedOrders[n] = names
 
@@ -104,6 +107,9 @@
 func (e *Engine) inheritOrders(w *wave) {
 	until := e.began + e.Timing.HostLease + e.Timing.LateOrderWindow
 	inherited := e.inheritedOrders[w.Number]
+	if slices.Contains(inherited, anyHost) {
+		inherited = w.Hosts
+	}
 	for _, name := range inherited {
 		if !slices.Contains(w.Done, name) {
 			w.ordered[name], w.unconfirmed[name] = true, until
