The record of a large wave is written in parts

What could happen: a maintenance wave of some 14,000 hosts or more is never reported as done, and a later planner takes its hosts down again.

Cause: its record lists the hosts that are done, and was left out of the append once it was larger than a record. Hosts stayed in it that the operator didn't request any more.

The fix, why it works: the record is written in parts, and lists only hosts that the operator's newest request names, so it is bounded by that request. It is encoded when it is appended, not for each host. The hosts are looked up by name: with 20,000 the list was searched 20,000 times under the engine's lock, twice a second. The number of hosts that reportWave logs is read under the lock. TestLateMaintenanceUnreadableRecord now covers a record of the wave that can't be read as well: hosts that are done are ordered again, which has no effect, and the wave ends.

--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	for _, wave := range e.waves {
-		if len(wave.Done) > 0 && e.Now().Sub(time.UnixMilli(wave.Begun)) < maxWaveAge {
+		if len(wave.done) > 0 && e.Now().Sub(time.UnixMilli(wave.Begun)) < maxWaveAge {
 			return true
 		}
 	}
--- a/internal/run/engine/latewave_test.go
+++ b/internal/run/engine/latewave_test.go
@@ -29,17 +29,18 @@
 	}
 }
 
-// TestLateMaintenanceUnreadableRecord is TestLateMaintenanceAfterTakeover with a record of the orders
-// that can't be read. It guards against a successor that takes it for an empty one.
+// TestLateMaintenanceUnreadableRecord is TestLateMaintenanceAfterTakeover with a record of the wave or
+// of its orders that can't be read. It guards against a successor that takes that of the orders for an
+// empty one, and against a wave that does not end.
 func TestLateMaintenanceUnreadableRecord(t *testing.T) {
-	for seed := range uint64(lateWaveSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				runLateWave(t, seed, func(r *rig) {
-					r.store.Put(engine.JobsTopic, work.WaveKey(1)+"/orders", []byte("\xff\xff"))
+	for _, suffix := range []string{"", "/orders"} {
+		for seed := range uint64(lateWaveSeeds) {
+			t.Run(fmt.Sprintf("wave%s/%d", suffix, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runLateWave(t, seed, func(r *rig) { r.store.Put(engine.JobsTopic, work.WaveKey(1)+suffix, []byte("\xff\xff")) })
 				})
 			})
-		})
+		}
 	}
 }
 
--- a/internal/run/engine/maintenance.go
+++ b/internal/run/engine/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,11 +26,11 @@
 	// wave is a maintenance wave in progress.
 	wave struct {
 		cloud.Wave
-		Done  []string // hosts that were ordered down for the wave or no longer exist; durable
-		Begun int64    // start of the wave in Unix milliseconds; durable
+		done  map[string]bool // hosts that were ordered down for the wave or no longer exist; durable
+		Begun int64           // start of the wave in Unix milliseconds; durable
 
 		reported      string                   // state that was last reported to the operator
-		unsaved       bool                     // Done and Begun are not durable yet
+		unsaved       bool                     // done and Begun are not durable yet
 		ordered       map[string]bool          // hosts with an order that may be unanswered; durable before it is sent
 		unconfirmed   map[string]time.Duration // hosts with an unanswered order, and until when that may be executed
 		cordonedSince map[string]time.Duration // cordoned hosts, and since when
@@ -67,12 +68,15 @@
 	for _, requested := range e.Cloud.Waves() {
 		w := e.waves[requested.Number]
 		if w == nil {
-			w = &wave{Begun: e.Now().UnixMilli()}
+			w = &wave{Begun: e.Now().UnixMilli(), done: map[string]bool{}}
 			e.waves[requested.Number] = w
 			e.saveWave(w, requested.Number)
 			e.Log.Info().Str("event", "wave").Int("wave", requested.Number).Int("hosts", len(requested.Hosts)).
 				Int("most", requested.MaxDown).Dur("within", requested.TimeLimit).Msg("")
 		}
+		if !slices.Equal(w.Hosts, requested.Hosts) && w.dropUnrequested(requested.Hosts) {
+			e.saveWave(w, requested.Number)
+		}
 		w.Wave = requested
 		if w.cordonedSince == nil {
 			w.unconfirmed, w.cordonedSince, w.downSince = map[string]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}
@@ -87,6 +91,25 @@
 	return open
 }
 
+// dropUnrequested forgets which hosts are done that the operator doesn't request any more. So the record
+// is no larger than the operator's request. An order for such a host, if it is requested again, has no
+// effect if it has been executed. It reports whether there were any.
+func (w *wave) dropUnrequested(requested []string) bool {
+	before := len(w.done)
+	named := map[string]bool{}
+	for _, name := range requested {
+		named[name] = true
+	}
+	maps.DeleteFunc(w.done, func(name string, _ bool) bool { return !named[name] })
+
+	return len(w.done) < before
+}
+
+// allDone reports whether all hosts of the wave are done, as far as is durable.
+func (w *wave) allDone() bool {
+	return !w.unsaved && !slices.ContainsFunc(w.Hosts, func(name string) bool { return !w.done[name] })
+}
+
 // States of a wave, as reported to the operator.
 const (
 	waveRunning = "running"
@@ -97,10 +120,14 @@
 func (e *Engine) processWaves(ctx context.Context, open []*wave) error {
 	call, cancel := context.WithTimeout(ctx, cloudTimeout)
 	defer cancel()
-	hosts, err := e.Cloud.Hosts(call)
+	list, err := e.Cloud.Hosts(call)
 	if err != nil {
 		return err
 	}
+	hosts := map[string]cloud.Host{}
+	for _, h := range list {
+		hosts[h.Name] = h
+	}
 	for _, w := range open {
 		if err := e.reportWave(ctx, w); err != nil {
 			return err
@@ -123,10 +150,10 @@
 func (e *Engine) reportWave(ctx context.Context, w *wave) error {
 	e.mu.Lock()
 	state := waveRunning
-	if !w.unsaved && !slices.ContainsFunc(w.Hosts, func(h string) bool { return !slices.Contains(w.Done, h) }) {
+	if w.allDone() {
 		state = waveDone
 	}
-	known := w.reported == state
+	known, done := w.reported == state, len(w.done)
 	e.mu.Unlock()
 	if known {
 		return nil
@@ -136,7 +163,7 @@
 	if err := e.Cloud.Report(call, w.Number, state == waveDone); err != nil {
 		return errors.Wrapf(err, "report wave %d", w.Number)
 	}
-	e.Log.Info().Str("event", "wave-reported").Int("wave", w.Number).Str("state", state).Int("done", len(w.Done)).Msg("")
+	e.Log.Info().Str("event", "wave-reported").Int("wave", w.Number).Str("state", state).Int("done", done).Msg("")
 	e.mu.Lock()
 	w.reported = state
 	if state == waveDone {
@@ -149,7 +176,7 @@
 
 // decideWave decides which hosts go down next. It cordons the workers of these hosts and of
 // those that follow, and drains the hosts whose runs must end.
-func (e *Engine) decideWave(w *wave, hosts []cloud.Host) maintenance.Decision {
+func (e *Engine) decideWave(w *wave, hosts map[string]cloud.Host) maintenance.Decision {
 	now := e.SinceBoot()
 	input := maintenance.Wave{MaxDown: w.MaxDown, Downtime: e.Timing.HostDowntime}
 	input.Remaining = w.TimeLimit - e.Now().Sub(time.UnixMilli(w.Begun))
@@ -172,8 +199,8 @@
 	for _, name := range d.Drain {
 		e.drainHost(w, name, hosts)
 	}
-	for _, h := range hosts {
-		if worker := e.workers[h.Worker]; worker != nil && slices.Contains(d.Down, h.Name) {
+	for _, name := range d.Down {
+		if worker := e.workers[hosts[name].Worker]; worker != nil {
 			worker.maintainedUntil = now + e.Timing.HostDowntime + maintenanceSlack
 		}
 	}
@@ -182,13 +209,13 @@
 }
 
 // toMaintenanceHost returns a host of a wave as input of a maintenance decision.
-func (e *Engine) toMaintenanceHost(w *wave, name string, hosts []cloud.Host, now time.Duration) maintenance.Host {
-	h := maintenance.Host{Name: name, CordonedFor: -1, Done: slices.Contains(w.Done, name)}
+func (e *Engine) toMaintenanceHost(w *wave, name string, hosts map[string]cloud.Host, now time.Duration) maintenance.Host {
+	h := maintenance.Host{Name: name, CordonedFor: -1, Done: w.done[name]}
 	if at, ok := w.cordonedSince[name]; ok {
 		h.CordonedFor = now - at
 	}
-	i := slices.IndexFunc(hosts, func(c cloud.Host) bool { return c.Name == name })
-	if i < 0 {
+	host, exists := hosts[name]
+	if !exists {
 		if !h.Done {
 			e.markHostDone(w, name) // the host no longer exists
 		}
@@ -197,9 +224,9 @@
 		return h
 	}
 	at, ordered := w.downSince[name]
-	h.MaybeDown = hosts[i].State == cloud.Maintained || now < w.unconfirmed[name] || (ordered && now < at+e.Timing.HostDowntime+waveInterval)
-	worker := e.workers[hosts[i].Worker]
-	h.Idle = hosts[i].State == cloud.Up && (worker == nil || len(worker.runs) == 0)
+	h.MaybeDown = host.State == cloud.Maintained || now < w.unconfirmed[name] || (ordered && now < at+e.Timing.HostDowntime+waveInterval)
+	worker := e.workers[host.Worker]
+	h.Idle = host.State == cloud.Up && (worker == nil || len(worker.runs) == 0)
 	if worker == nil {
 		return h
 	}
@@ -241,12 +268,12 @@
 }
 
 // cordonWorkers excludes the workers whose hosts are about to go down from new placements.
-func (e *Engine) cordonWorkers(hosts []cloud.Host) {
+func (e *Engine) cordonWorkers(hosts map[string]cloud.Host) {
 	cordoned := map[string]bool{}
 	for _, w := range e.waves {
 		for name := range w.cordonedSince {
-			if i := slices.IndexFunc(hosts, func(c cloud.Host) bool { return c.Name == name }); i >= 0 {
-				cordoned[hosts[i].Worker] = true
+			if h, exists := hosts[name]; exists {
+				cordoned[h.Worker] = true
 			}
 		}
 	}
@@ -256,9 +283,8 @@
 }
 
 // drainHost stops the runs on a host, except long-running tasks that mayStop excludes.
-func (e *Engine) drainHost(w *wave, name string, hosts []cloud.Host) {
-	i := slices.IndexFunc(hosts, func(c cloud.Host) bool { return c.Name == name })
-	worker := e.workers[hosts[i].Worker]
+func (e *Engine) drainHost(w *wave, name string, hosts map[string]cloud.Host) {
+	worker := e.workers[hosts[name].Worker]
 	if worker == nil {
 		return
 	}
@@ -301,29 +327,28 @@
 
 // markHostDone records that a host has been ordered down for the wave or no longer exists.
 func (e *Engine) markHostDone(w *wave, name string) {
-	if !slices.Contains(w.Done, name) {
-		w.Done = append(w.Done, name)
+	if !w.done[name] {
+		w.done[name] = true
 		e.saveWave(w, w.Number)
 	}
 }
 
-// saveWave writes the durable state of a wave, for later planners.
+// saveWave schedules the write of the durable state of a wave, for later planners.
 func (e *Engine) saveWave(w *wave, number int) {
-	b, err := cbor.Marshal(waveRecord{Done: w.Done, Begun: w.Begun})
-	if err != nil {
-		e.Log.Error().Str("event", "record-not-encoded").Int("wave", number).Err(err).Msg("")
-
-		return
-	}
 	w.unsaved = true
-	done := len(w.Done)
-	e.writer.putRecord(work.WaveKey(number), b, func(err error) {
-		if err == nil && len(w.Done) == done {
+	done := len(w.done)
+	e.writer.putContent(work.WaveKey(number), w.encode, func(err error) {
+		if err == nil && len(w.done) == done {
 			w.unsaved = false
 		}
 	})
 }
 
+// encode returns the wave's record.
+func (w *wave) encode() ([]byte, error) {
+	return work.Encode(waveRecord{Done: slices.Sorted(maps.Keys(w.done)), Begun: w.Begun})
+}
+
 // restoreWave rebuilds a wave from its record.
 func (e *Engine) restoreWave(number int, b []byte) {
 	var r waveRecord
@@ -332,5 +357,9 @@
 
 		return
 	}
-	e.waves[number] = &wave{Done: r.Done, Begun: r.Begun}
+	w := &wave{Begun: r.Begun, done: map[string]bool{}}
+	for _, name := range r.Done {
+		w.done[name] = true
+	}
+	e.waves[number] = w
 }
--- a/internal/run/engine/waveorders.go
+++ b/internal/run/engine/waveorders.go
@@ -111,7 +111,7 @@
 		inherited = w.Hosts
 	}
 	for _, name := range inherited {
-		if !slices.Contains(w.Done, name) {
+		if !w.done[name] {
 			w.ordered[name], w.unconfirmed[name] = true, until
 			e.Log.Info().Str("event", "order-inherited").Int("wave", w.Number).Str("host", name).Dur("for", until-e.SinceBoot()).Msg("")
 		}
--- a/internal/run/engine/waveorders_test.go
+++ b/internal/run/engine/waveorders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,36 @@
 	require.False(t, e.recordOrders(stopped, w, []string{"h2"}))
 	require.Contains(t, ordersRecord(t, e, 1), "h0")
 }
+
+// TestLargeWave takes 20,000 hosts down. It guards against a record of the wave that isn't written
+// because it is larger than a record: the wave would never be reported as done, and a later planner
+// would take all hosts down again.
+func TestLargeWave(t *testing.T) {
+	const hosts = 20000
+	e := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
+	w := &wave{done: map[string]bool{}}
+	w.Number = 7
+	for i := range hosts {
+		w.Hosts = append(w.Hosts, fmt.Sprintf("%032d", i))
+	}
+	for i, name := range append(w.Hosts, "not requested any more") {
+		e.markHostDone(w, name)
+		if i%5000 == 0 {
+			e.writer.nextGroup() // as if it took long to be answered
+		}
+	}
+	require.True(t, w.dropUnrequested(w.Hosts))
+	e.saveWave(w, w.Number)
+	g := e.writer.nextGroup()
+	require.LessOrEqual(t, store.Size(g.records...), e.RequestBytes)
+	for _, f := range g.callbacks {
+		f(nil)
+	}
+	require.True(t, w.allDone())
+
+	next := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
+	records, _ := joinParts(g.records)
+	require.Len(t, records, 1)
+	next.restoreWave(w.Number, records[0].Value)
+	require.Equal(t, w.done, next.waves[w.Number].done)
+}
