A job whose records can't be read is on hold

What could happen (TWICE, LOST): a planner can't read the progress of a job, as one of another version in a rolling upgrade, and runs the job from its beginning, beside the runs that go on, whose ends it acknowledges.

Cause: an unreadable progress counted as "none", an unreadable open record as "no such job".

The fix, why it works: nothing of such a job is started, written or acknowledged, and its runs go on, so a planner that can read the records finds all that has happened.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -115,6 +115,7 @@
 		unmatchedProgress map[string][]byte            // progress records of jobs whose own record has not been read yet, by job
 		unmatchedCrashes  map[string][]byte            // crash records of these jobs
 		unreadableJobs    map[string]bool              // jobs with an open record that cannot be read
+		held              map[string]bool              // jobs on hold: their open or progress record cannot be read
 		unansweredStarts  map[string][]unansweredStart // starts that may still be executed, by worker
 		runTimes          map[string]*runTime          // measured run times, by queue
 		peerRunTimes      map[stepKey][]time.Duration  // projected run times of the current runs, by step
@@ -204,7 +205,7 @@
 	}
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
-		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{},
+		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{}, held: map[string]bool{},
 		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -25,6 +25,11 @@
 		return ErrNotPlanning
 	}
 	j := e.jobs[def.ID]
+	if j == nil && e.unreadableJobs[def.ID] {
+		e.mu.Unlock()
+
+		return nil // it is stored
+	}
 	if j == nil && !e.knowsQueue(def.Queue) {
 		e.mu.Unlock()
 		e.Log.Warn().Str("event", "queue-unknown").Str("id", def.ID).Str("queue", def.Queue).Msg("")
@@ -80,7 +85,7 @@
 		return ErrNotPlanning
 	}
 	j := e.jobs[id]
-	if j == nil && !e.handinsCurrent() {
+	if j == nil && (e.unreadableJobs[id] || !e.handinsCurrent()) {
 		e.mu.Unlock()
 
 		return ErrNotPlanning
@@ -138,6 +143,9 @@
 			e.abort(u, "job "+p.String())
 		}
 	}
+	if e.held[j.ID] {
+		e.endHold(j.ID)
+	}
 	e.writer.put(j, nil)
 	e.requestPass()
 }
@@ -150,13 +158,13 @@
 		return 0, ErrNotPlanning
 	}
 	j := e.jobs[id]
-	if (j == nil && !e.handinsCurrent()) || (j != nil && !j.durable) {
+	if (j == nil && (e.unreadableJobs[id] || !e.handinsCurrent())) || (j != nil && !j.durable) {
 		return 0, ErrNotPlanning // the job may exist: an entry VM may have written it to the store itself
 	}
 	if j == nil || j.Workspace != workspace {
 		return 0, ErrUnknownJob
 	}
-	if j.durablePhase == work.Queued && j.Started {
+	if j.durablePhase == work.Queued && (j.Started || e.held[id]) {
 		return work.Running, nil
 	}
 
@@ -173,7 +181,7 @@
 	}
 	n := map[string]int32{}
 	for _, j := range e.active {
-		if !j.Started && !j.Phase.Final() && j.durable {
+		if !j.Started && !j.Phase.Final() && j.durable && !e.held[j.ID] {
 			n[j.Queue]++
 		}
 	}
@@ -193,6 +201,7 @@
 // long enough.
 func (e *Engine) dropEndedJobs() {
 	e.dropUnmatched()
+	e.failHeld()
 	kept := e.active[:0]
 	for _, j := range e.active {
 		if !j.durablePhase.Final() {
--- a/internal/run/engine/orphan.go
+++ b/internal/run/engine/orphan.go
@@ -5,12 +5,11 @@
 	"sesameyoke/internal/peer/target"
 )
 
-// stopOrphan stops a run that a worker reports although it is not on record. A run whose
-// job may still be read goes on for unmatchedGrace.
+// stopOrphan stops a run that a worker reports although it is not on record, unless its job is on hold.
 func (e *Engine) stopOrphan(w *worker, r target.Run) {
 	e.Log.Warn().Str("event", "orphan-run").Str("id", r.Task.Job).Int64("run", r.Run).Str("worker", w.ID).Msg("")
 	m := e.addOrphan(w, r)
-	if _, ok := e.unmatchedProgress[r.Task.Job]; ok && e.SinceBoot() < e.began+unmatchedGrace {
+	if e.onHold(r.Task.Job) {
 		return // it is adopted if its job is read
 	}
 	e.abort(m.unit, "orphan")
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -69,7 +69,7 @@
 func (e *Engine) addDueOccurrences() {
 	now := e.Now().UnixMilli()
 	for _, j := range e.active {
-		if j.Phase.Final() || len(j.Occurs) == j.Occurrences() || j.Due(len(j.Occurs)) > now {
+		if j.Phase.Final() || e.held[j.ID] || len(j.Occurs) == j.Occurrences() || j.Due(len(j.Occurs)) > now {
 			continue
 		}
 		free := work.MaxOpenTasks(e.RecordBytes) - j.openTasks()
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -216,6 +216,7 @@
 	p, err := work.DecodeProgress(b, &j.Job)
 	if err != nil {
 		e.Log.Error().Str("event", "record-unreadable").Str("id", j.ID).Err(err).Msg("")
+		e.held[j.ID] = true
 
 		return
 	}
@@ -234,7 +235,7 @@
 	def, err := work.DecodeJob(r.Value)
 	if err != nil || def.ID != id {
 		e.Log.Error().Str("event", "record-unreadable").Str("id", id).Err(err).Int64("offset", r.Offset).Msg("")
-		e.unreadableJobs[id] = true
+		e.unreadableJobs[id], e.held[id] = true, true
 
 		return nil
 	}
@@ -310,28 +311,30 @@
 		e.applyCrashes(j, b)
 	}
 	e.adoptJob(j)
+	if !e.held[j.ID] {
+		e.endHold(j.ID)
+	}
 }
 
 // dropUnmatched stops the runs of jobs whose open record was not read within
-// unmatchedGrace, and discards their progress records.
+// unmatchedGrace, and discards their progress records. Those that cannot be read are on hold.
 func (e *Engine) dropUnmatched() {
-	if len(e.unmatchedProgress) == 0 || e.SinceBoot() < e.began+unmatchedGrace {
+	if e.SinceBoot() < e.began+unmatchedGrace {
 		return
 	}
-	for _, w := range e.workers {
-		for _, m := range w.members() {
-			if _, ok := e.unmatchedProgress[m.unit.job.ID]; ok && m.unit.orphan {
-				e.abort(m.unit, "job not found")
-			}
-		}
-	}
+	var dropped []string
 	for id, b := range e.unmatchedProgress {
-		if !e.unreadableJobs[id] {
-			e.dropRemainder(id, b)
+		if e.held[id] {
+			continue
 		}
+		delete(e.unmatchedProgress, id)
+		delete(e.unmatchedCrashes, id)
+		e.dropRemainder(id, b)
+		dropped = append(dropped, id)
+	}
+	if len(dropped) > 0 {
+		e.endHold(dropped...)
 	}
-	clear(e.unmatchedProgress)
-	clear(e.unmatchedCrashes)
 }
 
 // adoptTask adds the run of a task if one is assigned. Whether it still goes on is not
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -100,7 +100,7 @@
 
 		return renewal, w.recipient(), true
 	}
-	if len(w.runs) == 0 && w.durableEnd <= w.ackedEnd && !w.probeDue(e.SinceBoot()) {
+	if len(w.runs) == 0 && w.durableEnd <= w.ackedEnd && !w.reportDue && !w.probeDue(e.SinceBoot()) {
 		return renewal, recipient{}, false
 	}
 	if w.seenEnd > w.durableEnd { // these ends cannot be acknowledged yet, so the worker would report them again at once
@@ -269,7 +269,7 @@
 		e.logStale(w)
 	}
 	e.admitReports(w)
-	w.ackedEnd = max(w.ackedEnd, renewal.Acked)
+	w.ackedEnd, w.reportDue = max(w.ackedEnd, renewal.Acked), false
 	inReport := map[*member]bool{}
 	e.recordEnds(w, r.Ended, inReport)
 	for _, run := range r.Running {
@@ -348,6 +348,11 @@
 		}
 		highest = max(highest, end.Number)
 		switch {
+		case e.onHold(end.Task.Job):
+			w.holdEnd(end.Number)
+			if m != nil {
+				e.release(m)
+			}
 		case m != nil:
 			e.handleEnd(m, end.How, end.Saved)
 		default:
@@ -358,10 +363,10 @@
 		return
 	}
 	w.seenEnd = highest
-	incarnation := w.Incarnation
+	incarnation, ackable := w.Incarnation, w.ackable(highest)
 	e.writer.after(func(err error) {
 		if err == nil && w.Incarnation == incarnation {
-			w.durableEnd = max(w.durableEnd, highest)
+			w.durableEnd = max(w.durableEnd, ackable)
 			w.wakeSession()
 		}
 	})
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -41,6 +41,8 @@
 	clockRestarted    bool                    // its clock has begun anew, but the new incarnation is not known yet
 	seenEnd           int64                   // highest number of a processed run end
 	durableEnd        int64                   // all run ends up to this number are durable
+	heldEnd           int64                   // lowest number of an end that is not acknowledged because its job is on hold; 0 if there is none
+	reportDue         bool                    // a report is requested even without runs
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
 	lostAt            time.Duration           // when it broke its connection, else when it last answered before it was silent
@@ -141,8 +143,24 @@
 	w.Incarnation = incarnation
 	w.voidDeadlines(now)
 	w.clockRestarted = false
-	w.seenEnd, w.durableEnd, w.ackedEnd = 0, 0, 0
+	w.seenEnd, w.durableEnd, w.ackedEnd, w.heldEnd = 0, 0, 0, 0
 	w.deadline = 0
 	w.failures = straggler.FailureRecord{}
 	w.slowUntil, w.stalledUntil, w.maintainedUntil = 0, 0, 0
 }
+
+// holdEnd keeps an end, and those that follow, from being acknowledged.
+func (w *worker) holdEnd(number int64) {
+	if w.heldEnd == 0 || number < w.heldEnd {
+		w.heldEnd = number
+	}
+}
+
+// ackable returns the highest number, up to the given one, that may be acknowledged.
+func (w *worker) ackable(number int64) int64 {
+	if w.heldEnd != 0 {
+		return min(number, w.heldEnd-1)
+	}
+
+	return number
+}
