Queues with long names have a record

Callers would have seen (LOST): an accepted job never goes on after its route was removed and the planner lost, if the route's name is longer than 253 bytes.

Cause: the name is part of the record's key, of which the store takes 255 bytes. A longer one was logged, and the job was accepted without the record.

The stand-in of the store refuses such keys now.

The fix, why it works: the key has a hash of such a name, and the record the name itself, which versions before ignore. Shorter names have the records that they had.

--- a/internal/run/engine/queues.go
+++ b/internal/run/engine/queues.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,7 +27,8 @@
 	// queueRecord is what the jobs of a queue need to know of it. Decoding ignores fields of
 	// later versions.
 	queueRecord struct {
-		Version  int64 // of the configuration
+		Name     string `cbor:",omitempty"` // of the queue; empty if the record's key has it
+		Version  int64  // of the configuration
 		Service  string
 		Priority int
 		Attempts int
@@ -49,15 +52,26 @@
 }
 
 func encodeQueue(name string, r queueRecord) (store.Record, error) {
-	key := work.Key(work.QueueRecord, name)
-	if len(key) > store.MaxKeyBytes {
-		return store.Record{}, errors.Errorf("key of queue %q is longer than %d bytes", name, store.MaxKeyBytes)
+	key := queueKey(name)
+	if key != work.Key(work.QueueRecord, name) {
+		r.Name = name
 	}
 	b, err := work.Encode(r)
 
 	return store.Record{Key: key, Value: b}, errors.Wrapf(err, "queue %q", name)
 }
 
+// queueKey returns the key of a queue's record. It has a hash of a name that is too long for a key.
+func queueKey(name string) string {
+	key := work.Key(work.QueueRecord, name)
+	if len(key) <= store.MaxKeyBytes {
+		return key
+	}
+	sum := sha256.Sum256([]byte(name))
+
+	return work.Key(work.QueueRecord, "sha256/"+hex.EncodeToString(sum[:]))
+}
+
 // queue returns the entry of a queue, which has no name while the queue is not known.
 func (e *Engine) queue(name string) *knownQueue {
 	k := e.queues[name]
@@ -104,7 +118,7 @@
 	k.recorded = &r // also if that fails, which is logged once
 	record, err := encodeQueue(name, r)
 	if err != nil {
-		e.Log.Error().Str("event", "record-not-encoded").Str("key", work.Key(work.QueueRecord, name)).Err(err).Msg("")
+		e.Log.Error().Str("event", "record-not-encoded").Str("key", queueKey(name)).Err(err).Msg("")
 
 		return store.Record{}, false
 	}
@@ -124,9 +138,13 @@
 // applyQueue applies the record of a queue, which may be older than what is known.
 func (e *Engine) applyQueue(r store.Record) *knownQueue {
 	_, name := work.ParseKey(r.Key)
-	k := e.queue(name)
 	var q queueRecord
-	if err := cbor.Unmarshal(r.Value, &q); err != nil || name == "" {
+	err := cbor.Unmarshal(r.Value, &q)
+	if err == nil && q.Name != "" {
+		name = q.Name
+	}
+	k := e.queue(name)
+	if err != nil || name == "" {
 		e.Log.Error().Str("event", "record-unreadable").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("")
 
 		return k
@@ -146,6 +164,7 @@
 	var q queueRecord
 	k := e.applyQueue(r)
 	if cbor.Unmarshal(r.Value, &q) == nil {
+		q.Name = ""
 		k.recorded = &q
 	}
 }
@@ -183,10 +202,10 @@
 			k.unusedSince = e.SinceBoot()
 		case e.SinceBoot() < k.unusedSince+e.Timing.Retention:
 		case k.handin.present():
-			deletions = append(deletions, handinDeletion{keys: []string{work.Key(work.QueueRecord, name)}, done: k.handin.noteDeletion})
+			deletions = append(deletions, handinDeletion{keys: []string{queueKey(name)}, done: k.handin.noteDeletion})
 		default:
 			if k.recorded != nil {
-				e.writer.putRecord(work.Key(work.QueueRecord, name), nil, func(error) {})
+				e.writer.putRecord(queueKey(name), nil, func(error) {})
 			}
 			delete(e.queues, name)
 		}
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -233,6 +233,9 @@
 	defer s.mu.Unlock()
 	t := s.topic(a.Topic)
 	for _, r := range a.Records {
+		if len(r.Key) > store.MaxKeyBytes {
+			return 0, errors.Wrapf(store.ErrRefused, "key %q has %d bytes, more than %d", r.Key, len(r.Key), store.MaxKeyBytes)
+		}
 		if n := r.Size(); n > s.RecordMax {
 			return 0, errors.Wrapf(store.ErrRefused, "record %q has %d bytes, more than %d", r.Key, n, s.RecordMax)
 		}
