An append that the store refuses for good is divided, not repeated for ever

Cause: each refusal was taken for an outage, and the append repeated with everything behind it.

After three in a row the append is halved, until what is refused stands alone. Whoever waits for a refused change is told; others wait until the ends of such jobs are durable, so that no acknowledged end of a task is lost. A hand-in that the store refuses for good is rejected at once instead of tried until the deadline, unless an earlier attempt may have been executed. Refusals of an outage are repeated as before.

--- a/internal/peer/planner/store.go
+++ b/internal/peer/planner/store.go
@@ -20,6 +20,7 @@
 // Faults of a store call, as they are returned to the calling VM.
 const (
 	refusedFault   = "refused"
+	invalidFault   = "invalid"
 	unknownFault   = "unknown"
 	fencedFault    = "fenced"
 	conditionFault = "condition"
@@ -77,6 +78,8 @@
 		return nil
 	case refusedFault:
 		return errors.Wrap(store.ErrRefused, r.Reason)
+	case invalidFault:
+		return errors.Wrap(store.ErrInvalid, r.Reason)
 	case fencedFault:
 		return store.ErrFenced
 	case conditionFault:
@@ -100,6 +103,8 @@
 	)
 	r := &plannerpb.StoreReply{Fault: unknownFault, Reason: err.Error()}
 	switch {
+	case errors.Is(err, store.ErrInvalid):
+		r.Fault = invalidFault
 	case errors.Is(err, store.ErrRefused):
 		r.Fault = refusedFault
 	case errors.Is(err, store.ErrFenced):
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -22,6 +22,9 @@
 var (
 	// ErrRefused means that the store did not execute the call.
 	ErrRefused = errors.New("store refused the call")
+	// ErrInvalid means that the store did not execute the call and never will, whoever makes it. It
+	// wraps ErrRefused.
+	ErrInvalid = errors.WithMessage(ErrRefused, "for good")
 	// ErrUnknown means that the call may have been executed, or may still be executed later.
 	ErrUnknown = errors.New("outcome of the store call is unknown")
 	// ErrFenced means that the store has seen a higher epoch of the producer.
--- a/internal/run/engine/stalesize_test.go
+++ b/internal/run/engine/stalesize_test.go
@@ -39,13 +39,14 @@
 	}
 	require.Len(t, e.writer.others, 1)
 	g := e.writer.nextGroup()
-	require.Len(t, g.records, 1)
-	require.LessOrEqual(t, g.records[0].Size(), e.RecordBytes)
+	records := recordsIn(g.batches)
+	require.Len(t, records, 1)
+	require.LessOrEqual(t, records[0].Size(), e.RecordBytes)
 	require.Len(t, e.recordedStale, workers)
 
 	next := staleEngine(workers)
 	next.fencedAt = now
-	next.loadStale(g.records[0].Value)
+	next.loadStale(records[0].Value)
 	late := next.newWorker(target.Worker{ID: "worker that is listed later"})
 	for id, w := range e.workers {
 		require.GreaterOrEqual(t, next.workers[id].notExpiredBefore, w.staleForSuccessor())
--- a/internal/run/engine/waveorders_test.go
+++ b/internal/run/engine/waveorders_test.go
@@ -17,7 +17,8 @@
 // ordersRecord returns the hosts in the record of a wave's orders that the next append holds.
 func ordersRecord(t *testing.T, e *Engine, number int) []string {
 	var names []string
-	for _, r := range e.writer.nextGroup().records {
+	g := e.writer.nextGroup()
+	for _, r := range recordsIn(g.batches) {
 		if r.Key == work.WaveKey(number)+waveOrdersSuffix && len(r.Value) > 0 {
 			require.NoError(t, cbor.Unmarshal(r.Value, &names))
 		}
@@ -60,14 +61,12 @@
 	require.True(t, w.dropUnrequested(w.Hosts))
 	e.saveWave(w, w.Number)
 	g := e.writer.nextGroup()
-	require.LessOrEqual(t, store.Size(g.records...), e.RequestBytes)
-	for _, f := range g.callbacks {
-		f(nil)
-	}
+	require.LessOrEqual(t, store.Size(recordsIn(g.batches)...), e.RequestBytes)
+	callAll(g.callbacks, nil)
 	require.True(t, w.allDone())
 
 	next := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
-	records, _ := joinParts(g.records)
+	records, _ := joinParts(recordsIn(g.batches))
 	require.Len(t, records, 1)
 	next.restoreWave(w.Number, records[0].Value)
 	require.Equal(t, w.done, next.waves[w.Number].done)
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -15,6 +15,7 @@
 	maxGroupBytes = 1 << 20                // size of the largest append of several jobs' records
 	appendTimeout = 900 * time.Millisecond // timeout of one attempt, because the store may not answer at all
 	appendPause   = 60 * time.Millisecond  // between attempts while the store is unavailable
+	maxRefusals   = 3                      // refusals for good, one after the other, after which an append is given up
 )
 
 type (
@@ -26,7 +27,7 @@
 		others    []string // keys of the values that belong to no job, in the order of the next appends
 		contents  map[string]content
 		parts     partCounts
-		callbacks []func(error) // to be called once all changes before them are durable
+		callbacks []callback // to be called once all changes before them are durable
 		wake      chan struct{}
 		next      int64 // sequence number of the next append
 		stopped   bool
@@ -40,9 +41,27 @@
 	group struct {
 		limit     int // size of the records in the append, unless the first ones alone exceed it
 		bytes     int // their size so far
-		records   []store.Record
-		phases    map[*job]work.Phase // phases that the records make durable
-		callbacks []func(error)
+		batches   []batch
+		callbacks []callback
+	}
+
+	// batch is the part of a group that belongs together.
+	batch struct {
+		records []store.Record
+		change
+		phase work.Phase // phase of the job that the records make durable
+	}
+
+	// change tells what a record, or a callback, belongs to: a job, a value of no job, or neither.
+	change struct {
+		job *job
+		key string
+	}
+
+	// callback is called under the engine's lock when a change is durable, or with an error.
+	callback struct {
+		change
+		f func(error)
 	}
 )
 
@@ -61,19 +80,22 @@
 		w.dirty = append(w.dirty, j)
 	}
 	if f != nil {
-		w.after(f)
+		w.afterChange(change{job: j}, f)
 	}
 	w.wakeWriter()
 }
 
 // after schedules f to be called when all changes up to now are durable.
-func (w *writer) after(f func(error)) {
+func (w *writer) after(f func(error)) { w.afterChange(change{}, f) }
+
+// afterChange is like after. If the store refuses the change for good, f is called with ErrTooLarge.
+func (w *writer) afterChange(c change, f func(error)) {
 	if w.stopped {
 		f(ErrStopped)
 
 		return
 	}
-	w.callbacks = append(w.callbacks, f)
+	w.callbacks = append(w.callbacks, callback{change: c, f: f})
 	w.wakeWriter()
 }
 
@@ -97,7 +119,7 @@
 		w.others = append(w.others, key)
 	}
 	w.contents[key] = c
-	w.after(f)
+	w.afterChange(change{key: key}, f)
 }
 
 // drop schedules the deletion of a job's records.
@@ -124,7 +146,7 @@
 		}
 		for ctx.Err() == nil {
 			g := w.nextGroup()
-			if len(g.records) == 0 && len(g.callbacks) == 0 {
+			if len(g.batches) == 0 && len(g.callbacks) == 0 {
 				break
 			}
 			w.write(ctx, g)
@@ -137,12 +159,16 @@
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
 	w.stopped = true
-	for _, f := range w.callbacks {
-		f(ErrStopped)
-	}
+	callAll(w.callbacks, ErrStopped)
 	w.callbacks = nil
 }
 
+func callAll(callbacks []callback, err error) {
+	for _, c := range callbacks {
+		c.f(err)
+	}
+}
+
 // nextGroup collects the next group, which is no larger than an append may be. Deletions come
 // first: a job may be submitted again after its records were deleted. A callback must not be called
 // before the records that were scheduled earlier are durable, so the group takes the callbacks only
@@ -150,8 +176,8 @@
 func (w *writer) nextGroup() group {
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
-	g := group{limit: min(maxGroupBytes, w.e.RequestBytes), phases: map[*job]work.Phase{}}
-	for len(w.dropped) > 0 && w.add(&g, w.dropped[0].deletions()...) {
+	g := group{limit: min(maxGroupBytes, w.e.RequestBytes)}
+	for len(w.dropped) > 0 && w.add(&g, change{}, w.dropped[0].deletions()...) {
 		w.dropped = w.dropped[1:]
 	}
 	for len(w.dropped) == 0 && len(w.others) > 0 && w.addOther(&g, w.others[0]) {
@@ -175,16 +201,16 @@
 		return true
 	}
 	w.e.contain("queue", j.Queue, func() {
-		if r, due := w.e.dueQueueRecord(j.Queue); due && !w.add(g, r) {
+		if r, due := w.e.dueQueueRecord(j.Queue); due && !w.add(g, change{key: r.Key}, r) {
 			w.putRecord(r.Key, r.Value, func(error) {})
 		}
 	})
 	records := w.e.recordsOf(j)
-	if len(w.others) > 0 || !w.add(g, records...) {
+	if len(w.others) > 0 || !w.add(g, change{job: j}, records...) {
 		return false
 	}
 	j.crashesStored = len(j.crashes) > 0 && !j.oversize
-	g.phases[j] = j.Phase
+	g.batches[len(g.batches)-1].phase = j.Phase
 	j.dirty = false
 
 	return true
@@ -200,7 +226,7 @@
 	case w.e.tooLarge(r):
 		w.e.logTooLarge(r)
 	default:
-		return w.add(g, r)
+		return w.add(g, change{key: key}, r)
 	}
 
 	return true
@@ -208,7 +234,7 @@
 
 // add adds values to the group unless they have no room there. Each has been found not to be too
 // large.
-func (w *writer) add(g *group, values ...store.Record) bool {
+func (w *writer) add(g *group, c change, values ...store.Record) bool {
 	var all []store.Record
 	for _, r := range values {
 		records, err := w.parts.split(r, w.e.RecordBytes)
@@ -217,7 +243,7 @@
 		}
 		all = append(all, records...)
 	}
-	if !g.add(all...) {
+	if !g.add(c, all) {
 		return false
 	}
 	w.parts.note(all)
@@ -235,46 +261,66 @@
 	return all
 }
 
-// add adds records to the group unless they have no room there.
-func (g *group) add(records ...store.Record) bool {
-	if len(g.records) > 0 && g.bytes+store.Size(records...) > g.limit {
+// add adds the records of a change to the group unless they have no room there.
+func (g *group) add(c change, records []store.Record) bool {
+	bytes := store.Size(records...)
+	if len(g.batches) > 0 && g.bytes+bytes > g.limit {
 		return false
 	}
-	g.records, g.bytes = append(g.records, records...), g.bytes+store.Size(records...)
+	g.batches, g.bytes = append(g.batches, batch{records: records, change: c}), g.bytes+bytes
 
 	return true
 }
 
+// recordsIn returns the records of batches.
+func recordsIn(batches []batch) []store.Record {
+	var all []store.Record
+	for _, b := range batches {
+		all = append(all, b.records...)
+	}
+
+	return all
+}
+
 // write appends a group until the outcome is known, and calls its callbacks.
 func (w *writer) write(ctx context.Context, g group) {
-	if len(g.records) > 0 && !w.append(ctx, g) {
-		w.e.mu.Lock()
-		for _, f := range g.callbacks {
-			f(ErrStopped)
-		}
-		w.e.mu.Unlock()
-
-		return
+	outcome := appended
+	if len(g.batches) > 0 {
+		outcome = w.append(ctx, recordsIn(g.batches))
 	}
 	w.e.mu.Lock()
-	for j, p := range g.phases {
-		j.durable = true
-		j.durablePhase = p
+	defer w.e.mu.Unlock()
+	switch outcome {
+	case stopped:
+		callAll(g.callbacks, ErrStopped)
+	case appended:
+		noteDurable(g.batches)
+		callAll(g.callbacks, nil)
+	case refused:
+		if refusals, ok := w.writeApart(ctx, g.batches); ok {
+			w.settleApart(g.callbacks, refusals)
+		} else {
+			callAll(g.callbacks, ErrStopped)
+		}
 	}
-	for _, f := range g.callbacks {
-		f(nil)
+}
+
+// noteDurable notes that the records of batches are durable.
+func noteDurable(batches []batch) {
+	for _, b := range batches {
+		if b.job != nil {
+			b.job.durable, b.job.durablePhase = true, b.phase
+		}
 	}
-	w.e.mu.Unlock()
 }
 
-// append appends a group's records to JobsTopic until the outcome is known. It reports
-// whether they were appended.
-func (w *writer) append(ctx context.Context, g group) bool {
-	began, first := w.e.SinceBoot(), true
+// append appends records to JobsTopic until the outcome is known.
+func (w *writer) append(ctx context.Context, records []store.Record) outcome {
+	began, first, refusals := w.e.SinceBoot(), true, 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := w.e.Store.Append(call, store.Append{
-			Topic: JobsTopic, Records: g.records, ExpectedEnd: -1, Producer: producer, Epoch: w.e.Lease.Token, Sequence: w.next,
+			Topic: JobsTopic, Records: records, ExpectedEnd: -1, Producer: producer, Epoch: w.e.Lease.Token, Sequence: w.next,
 		})
 		cancel()
 		var seq *store.SequenceError
@@ -285,26 +331,34 @@
 			w.next++
 			w.e.Observe("append_seconds", w.e.SinceBoot()-began)
 			if !first {
-				w.e.Log.Info().Str("event", "store-regained").Dur("after", w.e.SinceBoot()-began).Int("records", len(g.records)).Msg("")
+				w.e.Log.Info().Str("event", "store-regained").Dur("after", w.e.SinceBoot()-began).Int("records", len(records)).Msg("")
 			}
 
-			return true
+			return appended
 		case errors.Is(err, store.ErrFenced):
 			w.e.loseLease("store")
 
-			return false
+			return stopped
 		case seq != nil:
 			w.e.Log.Error().Str("event", "append-out-of-sequence").Int64("sent", w.next).Int64("want", seq.Expected).Msg("")
 			w.e.loseLease("store")
 
-			return false
+			return stopped
+		case errors.Is(err, store.ErrInvalid):
+			if refusals++; refusals == maxRefusals {
+				w.e.Log.Error().Str("event", "append-refused").Err(err).Int("records", len(records)).Msg("")
+
+				return refused
+			}
+		default:
+			refusals = 0
 		}
 		if first {
-			w.e.Log.Warn().Str("event", "store-lost").Err(err).Int("records", len(g.records)).Msg("")
+			w.e.Log.Warn().Str("event", "store-lost").Err(err).Int("records", len(records)).Msg("")
 		}
 		first = false
 		timer.Pause(ctx, appendPause)
 	}
 
-	return false
+	return stopped
 }
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -170,10 +170,10 @@
 		return c
 	}
 	uncertain := c == code.Unknown
-	switch c = e.appendHandin(ctx, handin...); c {
-	case code.OK:
+	switch c = e.appendHandin(ctx, handin...); {
+	case c == code.OK, c == code.TooLarge && !uncertain:
 		return c
-	case code.Unknown:
+	case c == code.Unknown:
 		uncertain = true
 	default:
 		if c = e.relaySubmit(ctx, record); c == code.OK {
@@ -198,6 +198,8 @@
 	switch {
 	case err == nil:
 		return code.OK
+	case errors.Is(err, store.ErrInvalid):
+		return code.TooLarge
 	case errors.Is(err, store.ErrRefused):
 		return code.LogDown
 	}
--- a/internal/run/entry/handin_test.go
+++ b/internal/run/entry/handin_test.go
@@ -41,3 +41,24 @@
 		require.Equal(t, work.Key(work.OpenRecord, "j"), appends[0].Records[0].Key)
 	})
 }
+
+// TestRefusedHandin submits a job, without a planner, that the store refuses for good. It guards against
+// a caller who waits for the deadline, although the job can't be accepted.
+func TestRefusedHandin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		appends := 0
+		st := &store.Store{Append: func(context.Context, store.Append) (int64, error) {
+			appends++
+
+			return 0, store.ErrInvalid
+		}}
+		e := entry.New(entry.Config{
+			Store: st, Elector: lead.New(lead.Config{Store: st}), SinceBoot: func() time.Duration { return time.Hour },
+			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		})
+		g := entry.Grant{Queue: &policy.Queue{Name: "batch", Service: "s"}, Version: 7, Workspace: "w"}
+		got := e.Submit(t.Context(), g, work.Job{ID: "j", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 1}}})
+		require.Equal(t, code.TooLarge, got)
+		require.Equal(t, 1, appends)
+	})
+}
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -112,7 +112,7 @@
 // routeFailed reports whether a call was not executed or got no answer, so that another
 // route may succeed. Any other error is the store's answer.
 func routeFailed(err error) bool {
-	return errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown)
+	return (errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown)) && !errors.Is(err, store.ErrInvalid)
 }
 
 // routes returns the VMs through which to make a call, in order. An empty name is the
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -234,14 +234,14 @@
 	t := s.topic(a.Topic)
 	for _, r := range a.Records {
 		if len(r.Key) > store.MaxKeyBytes {
-			return 0, errors.Wrapf(store.ErrRefused, "key %q has %d bytes, more than %d", r.Key, len(r.Key), store.MaxKeyBytes)
+			return 0, errors.Wrapf(store.ErrInvalid, "key %q has %d bytes, more than %d", r.Key, len(r.Key), store.MaxKeyBytes)
 		}
 		if n := r.Size(); n > s.RecordMax {
-			return 0, errors.Wrapf(store.ErrRefused, "record %q has %d bytes, more than %d", r.Key, n, s.RecordMax)
+			return 0, errors.Wrapf(store.ErrInvalid, "record %q has %d bytes, more than %d", r.Key, n, s.RecordMax)
 		}
 	}
 	if n := store.Size(a.Records...); n > s.AppendMax {
-		return 0, errors.Wrapf(store.ErrRefused, "append of %d bytes, more than %d", n, s.AppendMax)
+		return 0, errors.Wrapf(store.ErrInvalid, "append of %d bytes, more than %d", n, s.AppendMax)
 	}
 	if a.ExpectedEnd >= 0 && t.end() != a.ExpectedEnd {
 		return 0, &store.ConditionError{End: t.end()}
