Jobs are rejected before their records fill the store

Cause: nothing bounded the size of all jobs that are kept.

The fix, why it works: the planner knows the size of all jobs that it keeps, also of those that it reads when it takes over. A job that doesn't fit beside them is rejected with 429 (code 14), which callers retry; one workspace may take half of the room, so it can't keep others out alone. The answer is only given if no earlier attempt can have stored the job. No write and no call is added.

--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -25,6 +25,8 @@
 	refusalBackoff      = time.Second             // a worker that refused a start receives no further ones for this time
 	lateOrderWindow     = 15 * time.Second        // unanswered orders have been executed up to 12 s after they were sent
 	callsPerCore        = 160                     // limit of concurrent calls to workers per core of this VM
+	maxKept             = 32 << 20                // size of all jobs, in bytes, from which no further ones are accepted
+	keptShare           = 0.15                    // share of this VM's memory that they may take at most
 	minCalls            = 24                      // lower limit of the concurrent calls, for VMs with few cores
 )
 
@@ -43,7 +45,7 @@
 			RestoreTime: v.settings.Restore, HostLease: v.settings.HostLease, HostDowntime: v.settings.MaintenanceTime,
 		},
 		Policy:      func() *policy.Policy { return watcher.Policy() },
-		RecordBytes: v.settings.RecordBytes, RequestBytes: v.settings.RequestBytes, MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
+		RecordBytes: v.settings.RecordBytes, RequestBytes: v.settings.RequestBytes, KeptBytes: v.keptBytes(), MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
 		SinceBoot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes,
 		Advise:   platform.NewPlacementAdvisor(v.settings.PlacementService, t),
@@ -54,3 +56,9 @@
 
 	return c
 }
+
+// keptBytes returns the size of all jobs from which no further ones are accepted. A new planner holds
+// their records and what it decodes from them at the same time.
+func (v *vm) keptBytes() int {
+	return min(maxKept, int(keptShare*float64(v.settings.MemoryMB)*(1<<20)))
+}
--- a/internal/core/work/size.go
+++ b/internal/core/work/size.go
@@ -39,6 +39,16 @@
 	return n
 }
 
+// KeptBytes returns about how much memory, and storage, the job and the state of its tasks take.
+func (j Job) KeptBytes() int {
+	n := headBytes/8 + len(j.Spec) + j.Tasks()*taskStateBytes
+	for _, s := range j.Steps {
+		n += taskStateBytes + len(s.Label) + len(s.Rack) + len(s.Image) + 8*len(s.After)
+	}
+
+	return n
+}
+
 // CheckSize returns a SizeError if the job or its progress does not fit in records of the given
 // size.
 func (j Job) CheckSize(recordBytes int) error {
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -40,6 +40,9 @@
 	ErrUnknownQueue = errors.New("queue is not known to the planner")
 	// ErrTooLarge means that the job or a record is too large to be stored. The call had no effect.
 	ErrTooLarge = errors.New("too large to be stored")
+	// ErrFull means that there is no room for the job until others have ended and their retention
+	// period has passed. The call had no effect.
+	ErrFull = errors.New("no room for more jobs")
 	// ErrUnknownJob means that the job does not exist in the caller's workspace.
 	ErrUnknownJob = errors.New("job is not known")
 )
@@ -78,6 +81,7 @@
 		Name            string                             // name of this VM with its incarnation
 		RecordBytes     int                                // size of the largest record that the store accepts; 0 for work.DefaultRecordBytes
 		RequestBytes    int                                // size of the largest append, of several such records, that the store accepts; 0 for store.DefaultRequestBytes
+		KeptBytes       int                                // size of all jobs, by work.Job.KeptBytes, from which no further ones are accepted; 0 for no limit
 		MaxCalls        int                                // number of concurrent calls to workers that this VM can sustain
 		SchedulingDelay func() time.Duration               // recent scheduling delay of this process; nil if it is not measured
 		Count           func(name string, n int64)         // adds n to a counter metric
@@ -106,7 +110,9 @@
 
 		mu                sync.Mutex // guards the state of jobs, units, workers and waves
 		jobs              map[string]*job
-		active            []*job // jobs that have not durably ended, in the order in which they were accepted
+		kept              int            // size of all jobs
+		keptBy            map[string]int // size of all jobs, by workspace
+		active            []*job         // jobs that have not durably ended, in the order in which they were accepted
 		workers           map[string]*worker
 		units             map[string]*unit             // units with unreleased runs, by name
 		claims            map[string]claim             // claims of units on workers, by worker
@@ -204,7 +210,7 @@
 		c.RequestBytes = store.DefaultRequestBytes
 	}
 	e := &Engine{
-		Config: c, jobs: map[string]*job{}, workers: map[string]*worker{}, units: map[string]*unit{},
+		Config: c, jobs: map[string]*job{}, keptBy: map[string]int{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{}, held: map[string]bool{},
 		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -10,10 +10,13 @@
 	"sesameyoke/internal/core/work"
 )
 
-const maxEarlyCancels = 10000 // maximum number of remembered cancellations of unknown jobs
+const (
+	maxEarlyCancels = 10000 // maximum number of remembered cancellations of unknown jobs
+	maxWorkspaces   = 2     // workspaces that together may take all the room for jobs
+)
 
 // Submit adds a job and returns when it is durable. After an error other than
-// ErrNotPlanning, ErrUnknownQueue and ErrTooLarge it is unknown whether the job is accepted.
+// ErrNotPlanning, ErrUnknownQueue, ErrTooLarge and ErrFull it is unknown whether the job is accepted.
 func (e *Engine) Submit(ctx context.Context, def work.Job) error {
 	if err := def.CheckSize(e.RecordBytes); err != nil {
 		return errors.Wrap(ErrTooLarge, err.Error())
@@ -36,6 +39,12 @@
 
 		return ErrUnknownQueue
 	}
+	if j == nil && !e.hasRoom(def) {
+		e.mu.Unlock()
+		e.Log.Warn().Str("event", "full").Str("id", def.ID).Int("bytes", def.KeptBytes()).Int("limit", e.KeptBytes).Msg("")
+
+		return ErrFull
+	}
 	if j == nil {
 		j = e.addJob(def)
 		e.Log.Info().Str("event", "job-taken").Str("id", def.ID).Str("queue", def.Queue).Str("workspace", def.Workspace).
@@ -54,6 +63,33 @@
 	return await(ctx, done)
 }
 
+// hasRoom reports whether a job may be accepted beside those that are kept. No workspace may take all
+// the room.
+func (e *Engine) hasRoom(def work.Job) bool {
+	n := def.KeptBytes()
+
+	return e.KeptBytes == 0 || (e.kept+n <= e.KeptBytes && e.keptBy[def.Workspace]+n <= e.KeptBytes/maxWorkspaces)
+}
+
+// keep adds a job to the engine's state.
+func (e *Engine) keep(j *job) {
+	e.jobs[j.ID] = j
+	e.addKept(j, j.KeptBytes())
+}
+
+// forget removes a job from the engine's state.
+func (e *Engine) forget(j *job) {
+	delete(e.jobs, j.ID)
+	e.addKept(j, -j.KeptBytes())
+}
+
+func (e *Engine) addKept(j *job, bytes int) {
+	e.kept += bytes
+	if e.keptBy[j.Workspace] += bytes; e.keptBy[j.Workspace] == 0 {
+		delete(e.keptBy, j.Workspace)
+	}
+}
+
 // await waits until a change is durable.
 func await(ctx context.Context, done <-chan error) error {
 	select {
@@ -67,7 +103,7 @@
 // addJob adds a new job to the engine's state.
 func (e *Engine) addJob(def work.Job) *job {
 	j := &job{Job: def, acceptedAt: e.SinceBoot(), doneRunTimes: map[occurStep]runTimeSum{}}
-	e.jobs[def.ID] = j
+	e.keep(j)
 	e.active = append(e.active, j)
 	e.restoreUnmatched(j)
 	e.applyEarlyCancel(j)
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -139,6 +139,7 @@
 // rebuildJobs rebuilds the jobs from their records.
 func (e *Engine) rebuildJobs(jobs, handins []store.Record) {
 	e.jobs, e.active, e.units = map[string]*job{}, nil, map[string]*unit{}
+	e.kept, e.keptBy = 0, map[string]int{}
 	progress, crashes := map[string][]byte{}, map[string][]byte{}
 	jobs, e.writer.parts = joinParts(jobs)
 	e.deleteOrphanParts(jobs)
@@ -241,7 +242,7 @@
 	}
 	age := e.Now().Sub(time.UnixMilli(def.Sent))
 	j := &job{Job: def, durable: true, acceptedAt: e.SinceBoot() - max(0, age), doneRunTimes: map[occurStep]runTimeSum{}}
-	e.jobs[id] = j
+	e.keep(j)
 	e.applyEarlyCancel(j)
 
 	return j
--- a/internal/run/engine/refused.go
+++ b/internal/run/engine/refused.go
@@ -77,7 +77,7 @@
 	case !j.durable && !j.handin.open:
 		e.Log.Error().Str("event", "job-refused").Str("id", j.ID).Int("code", int(code.TooLarge)).Msg("")
 		j.Phase, j.durablePhase, j.dropped = work.Failed, work.Failed, true
-		delete(e.jobs, j.ID)
+		e.forget(j)
 	case j.oversize:
 		e.Log.Error().Str("event", "record-refused").Str("id", j.ID).Int("code", int(code.TooLarge)).Msg("")
 		j.durablePhase = j.Phase
--- a/internal/run/engine/retention.go
+++ b/internal/run/engine/retention.go
@@ -63,7 +63,7 @@
 		case j.handin.present():
 			deletions = append(deletions, e.jobDeletion(id))
 		default:
-			delete(e.jobs, id)
+			e.forget(j)
 			e.writer.drop(j)
 		}
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -146,7 +146,7 @@
 	start, uncertain := e.SinceBoot(), false // uncertain: an attempt may have reached the store
 	for ctx.Err() == nil {
 		c := e.submitOnce(ctx, record, handin)
-		if c == code.OK || c == code.BadRequest || c == code.TooLarge {
+		if isFinal(c, uncertain) {
 			return c
 		}
 		uncertain = uncertain || c == code.Unknown
@@ -162,11 +162,17 @@
 	return code.LogDown
 }
 
+// isFinal reports whether a result is the answer to a submission. While an earlier attempt may have been
+// executed, the lack of room doesn't tell that the job was not accepted.
+func isFinal(c code.Code, uncertain bool) bool {
+	return c == code.OK || c == code.BadRequest || c == code.TooLarge || (c == code.Overloaded && !uncertain)
+}
+
 // submitOnce makes one attempt by way of the planner, then by an append to the store, and
 // if the store refuses, through another VM.
 func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) code.Code {
 	c := e.plannerSubmit(ctx, record, false)
-	if c == code.OK || c == code.BadRequest || c == code.TooLarge {
+	if isFinal(c, false) {
 		return c
 	}
 	uncertain := c == code.Unknown
@@ -240,6 +246,8 @@
 		return code.NotReady
 	case errors.Is(err, engine.ErrTooLarge):
 		return code.TooLarge
+	case errors.Is(err, engine.ErrFull):
+		return code.Overloaded
 	}
 
 	return code.Unknown
