Tasks that last and recur too often are rejected at once

Callers would have seen (LOST): a job is accepted whose steps last until it is cancelled and recur, and its later occurrences never start: those that are open have as many tasks as can be stored, and none ends.

Cause: the check of a job's size counted the tasks of one occurrence. Since occurrences wait while the open ones fill a record, those of tasks that last wait for ever.

Jobs that are stored already are read as before.

--- a/internal/core/work/size.go
+++ b/internal/core/work/size.go
@@ -1,6 +1,9 @@
 package work
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 const (
 	// DefaultRecordBytes is the size of the largest record of a store that states none.
@@ -39,6 +42,16 @@
 	return n
 }
 
+// mostOpenTasks returns the number of tasks of the occurrences that must be open at the same time: of
+// all if they have tasks that run until the job is cancelled.
+func (j Job) mostOpenTasks() int {
+	if slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning }) {
+		return j.Occurrences() * j.Tasks()
+	}
+
+	return j.Tasks()
+}
+
 // KeptBytes returns about how much memory, and storage, the job and the state of its tasks take.
 func (j Job) KeptBytes() int {
 	n := headBytes/8 + len(j.Spec) + j.Tasks()*taskStateBytes
@@ -52,7 +65,7 @@
 // CheckSize returns a SizeError if the job or its progress does not fit in records of the given
 // size.
 func (j Job) CheckSize(recordBytes int) error {
-	if n, limit := j.Tasks(), MaxOpenTasks(recordBytes); n > limit {
+	if n, limit := j.mostOpenTasks(), MaxOpenTasks(recordBytes); n > limit {
 		return &SizeError{What: "tasks", Size: n, Limit: limit}
 	}
 	b, err := Encode(j)
