Compact progress records are written once all VMs read them

What could happen (TWICE): during a rolling upgrade a planner of this version writes the progress of a job with more than 1,000 occurrences in the compact form; a VM of the version before, which becomes planner, can't read it and runs the job from its beginning.

Cause: wrote the new form at once.

Evidence: TestProgressForAll decodes the records as the version before does; it fails without the change.

--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -47,8 +47,8 @@
 		Policy:      func() *policy.Policy { return watcher.Policy() },
 		RecordBytes: v.settings.RecordBytes, RequestBytes: v.settings.RequestBytes, KeptBytes: v.keptBytes(), MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
 		SinceBoot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
-		Discover: d.Changes,
-		Advise:   platform.NewPlacementAdvisor(v.settings.PlacementService, t),
+		Discover: d.Changes, AllReadCompact: v.entry.AllReadCompact,
+		Advise: platform.NewPlacementAdvisor(v.settings.PlacementService, t),
 	}
 	if v.settings.Cloud != "" {
 		c.Cloud = platform.NewCloud(v.settings.Cloud, t, st, w)
--- a/internal/core/work/progress.go
+++ b/internal/core/work/progress.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// A progress record lists this many occurrences one by one. With more, it lists only those
-	// that have not ended; versions before that form cannot read it.
+	// A progress record lists this many occurrences one by one. With more, its compact form lists
+	// only those that have not ended; versions before that form cannot read it.
 	maxListed = 1000
 	// First byte of a CBOR array of five elements: that of a record which lists only these.
 	compactHead = 0x85
@@ -35,10 +35,13 @@
 	}
 )
 
-// Encode encodes the progress as a record, whose size depends on the open occurrences but hardly
-// on how many have ended.
-func (p Progress) Encode() ([]byte, error) {
-	if len(p.Occurs) <= maxListed {
+// Compacts reports whether EncodeCompact uses the compact form.
+func (p Progress) Compacts() bool { return len(p.Occurs) > maxListed }
+
+// EncodeCompact encodes the progress as a record, whose size depends on the open occurrences but
+// hardly on how many have ended.
+func (p Progress) EncodeCompact() ([]byte, error) {
+	if !p.Compacts() {
 		return Encode(p)
 	}
 	c := compactProgress{Phase: p.Phase, Started: p.Started, Ended: p.Ended, Count: len(p.Occurs)}
--- a/internal/core/work/progress_test.go
+++ b/internal/core/work/progress_test.go
@@ -40,7 +40,7 @@
 	for _, times := range []int{1, 100, 1000, 1001, 10000, 100000} {
 		for _, tasks := range []int{1, 7, 200, most} {
 			j, p := recurring(times, tasks, min(times, most/tasks))
-			b, err := p.Encode()
+			b, err := p.EncodeCompact()
 			require.NoError(t, err)
 			require.Less(t, len(b)+100, work.DefaultRecordBytes, "%d times %d tasks", times, tasks)
 			read, err := work.DecodeProgress(b, &j)
@@ -53,7 +53,7 @@
 // TestOtherProgress decodes records of many occurrences that do not match the job.
 func TestOtherProgress(t *testing.T) {
 	_, p := recurring(2000, 2, 3)
-	b, err := p.Encode()
+	b, err := p.EncodeCompact()
 	require.NoError(t, err)
 	for _, j := range []work.Job{
 		{Times: 1999, Steps: []work.Step{{Count: 2}}}, {Times: 2000, Steps: []work.Step{{Count: 3}}}, {Times: 2000, Steps: []work.Step{{Count: 2}, {Count: 1}}},
@@ -73,7 +73,7 @@
 			_, p := recurring(times, 4, min(2, times))
 			size := 0
 			for b.Loop() {
-				record, err := p.Encode()
+				record, err := p.EncodeCompact()
 				require.NoError(b, err)
 				size = len(record)
 			}
--- a/internal/core/work/record_test.go
+++ b/internal/core/work/record_test.go
@@ -13,7 +13,7 @@
 func FuzzRecord(f *testing.F) {
 	j := work.Job{ID: "j", Steps: []work.Step{{Count: 2}}}
 	often, p := recurring(2000, 2, 3)
-	compact, err := p.Encode()
+	compact, err := p.EncodeCompact()
 	require.NoError(f, err)
 	f.Add(compact)
 	for _, v := range []any{j, work.Progress{Phase: work.Running, Occurs: []work.Occurrence{work.NewOccurrence(&j)}}, work.Progress{Phase: 77}} {
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -87,6 +87,9 @@
 		Count           func(name string, n int64)         // adds n to a counter metric
 		Observe         func(name string, d time.Duration) // adds a duration to a metric
 
+		// AllReadCompact reports whether all VMs read compact progress records, as they do from
+		// the version that has lead.CompactMark on; nil if they do.
+		AllReadCompact func() bool
 		// Advise asks the placement service which of the named workers may run a step. It
 		// returns their tickets by worker and how long these are valid. It is called for
 		// advised queues only.
--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
@@ -115,3 +116,30 @@
 		}
 	}
 }
+
+// TestProgressForAll encodes the progress of a job with many occurrences while not all VMs read the
+// compact form. It guards against a record that a planner of an earlier version takes for none.
+func TestProgressForAll(t *testing.T) {
+	const limit = work.DefaultRecordBytes / 3 // with 3 bytes for each occurrence that has ended
+	for _, c := range []struct {
+		occurrences      int
+		readers, compact bool
+	}{
+		{1000, true, false}, {1000, false, false}, {1001, true, true}, {1001, false, false}, {limit - 100, false, false}, {limit + 100, false, true},
+	} {
+		e := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
+		e.AllReadCompact = func() bool { return c.readers }
+		j := &job{Job: work.Job{ID: "j", Times: c.occurrences, Interval: 1, Steps: []work.Step{{Count: 1}}}, durable: true}
+		j.Phase, j.Occurs = work.Running, make([]work.Occurrence, c.occurrences)
+		for i := range j.Occurs {
+			j.Occurs[i].Ended = true
+		}
+		records := e.recordsOf(j)
+		require.Len(t, records, 1)
+		var earlier work.Progress // versions before the compact form decode a record so
+		require.Equal(t, c.compact, cbor.Unmarshal(records[0].Value, &earlier) != nil, "%+v", c)
+		p, err := work.DecodeProgress(records[0].Value, &j.Job)
+		require.NoError(t, err)
+		require.Equal(t, j.Progress, p)
+	}
+}
--- a/internal/run/engine/records.go
+++ b/internal/run/engine/records.go
@@ -10,8 +10,8 @@
 	"sesameyoke/internal/peer/store"
 )
 
-// records returns the records of the job's state.
-func (j *job) records() ([]store.Record, error) {
+// records returns the values of the job's state.
+func (e *Engine) records(j *job) ([]store.Record, error) {
 	var all []store.Record
 	if !j.durable && !j.handin.open {
 		b, err := work.Encode(j.Job)
@@ -21,7 +21,7 @@
 		all = append(all, store.Record{Key: work.Key(work.OpenRecord, j.ID), Value: b})
 	}
 	if len(j.Occurs) > 0 || j.Phase != work.Queued || j.handin.open {
-		b, err := j.durableProgress().Encode()
+		b, err := e.encodeProgress(j)
 		if err != nil {
 			return nil, errors.Wrapf(err, "progress of job %q", j.ID)
 		}
@@ -52,6 +52,19 @@
 	return r, err
 }
 
+// encodeProgress returns the value of the job's progress. It is in the form that each VM can read, unless
+// that is larger than a record.
+func (e *Engine) encodeProgress(j *job) ([]byte, error) {
+	p := j.durableProgress()
+	if p.Compacts() && e.AllReadCompact != nil && !e.AllReadCompact() {
+		if b, err := work.Encode(p); err != nil || len(b)+1+len(work.Key(work.ProgressRecord, j.ID)) <= e.RecordBytes {
+			return b, err
+		}
+	}
+
+	return p.EncodeCompact()
+}
+
 // durableProgress returns the progress of the job as it is stored.
 func (j *job) durableProgress() work.Progress {
 	switch {
@@ -69,7 +82,7 @@
 // large, they are left out: later planners start the tasks from their beginning. Otherwise the
 // job fails. So it does if its state cannot be encoded: its runs would go on unrecorded.
 func (e *Engine) recordsOf(j *job) []store.Record {
-	all, err := j.records()
+	all, err := e.records(j)
 	if err == nil && !slices.ContainsFunc(all, e.tooLarge) {
 		return all
 	}
@@ -84,7 +97,7 @@
 		e.Log.Error().Str("event", "job-failed").Str("id", j.ID).Int("code", int(code.TooLarge)).Int("limit", e.maxValue()).Err(err).Msg("")
 		e.endJob(j, work.Failed)
 	}
-	if all, err = j.records(); err != nil {
+	if all, err = e.records(j); err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Err(err).Msg("")
 	}
 
--- a/internal/run/engine/unreadable.go
+++ b/internal/run/engine/unreadable.go
@@ -46,7 +46,7 @@
 // failUnread records the end of a job whose open record cannot be read.
 func (e *Engine) failUnread(id string) {
 	e.Log.Error().Str("event", "job-failed").Str("id", id).Str("why", "open record unreadable").Msg("")
-	b, err := work.Progress{Phase: work.Failed, Started: true, Ended: e.Now().UnixMilli()}.Encode()
+	b, err := work.Encode(work.Progress{Phase: work.Failed, Started: true, Ended: e.Now().UnixMilli()})
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("id", id).Err(err).Msg("")
 
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -217,3 +218,18 @@
 
 	return all
 }
+
+// AllReadCompact reports whether all VMs that this one knows of have told that they read compact progress
+// records. A VM whose heartbeat has not arrived yet may be one of a version that doesn't.
+func (e *Entry) AllReadCompact() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.SinceBoot()
+	for a, v := range e.peers {
+		if a != e.Address && now-v.lastSeen <= peerTTL && !strings.HasSuffix(v.Name, lead.CompactMark+lead.GrantMark) {
+			return false
+		}
+	}
+
+	return true
+}
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -35,6 +35,9 @@
 	// about to grant workers leases. VMs of earlier versions don't.
 	GrantMark = "/g"
 
+	// CompactMark precedes GrantMark in the name of a VM that reads compact progress records.
+	CompactMark = "/c"
+
 	renewRetryInterval = 100 * time.Millisecond // a renewal that gets no answer is resent at this interval
 	renewAttempts      = 6                      // maximum number of copies sent of one renewal
 )
