A lease record that can't be read is a lease

What could happen (LOST): in a rolling upgrade a VM can't read the record of the planner's lease.

Cause: a record that can't be read counted as none.

The fix, why it works: such a lease counts as held until it has not been renewed for the usual time. The token that follows is the time of day in seconds: tokens grow by one with each planner, so all earlier ones are lower.

--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -106,6 +106,7 @@
 
 		mu              sync.Mutex
 		holder          Holder
+		unreadable      bool          // the newest record cannot be read: its holder and token are not known
 		known           bool          // the lease record has been read, or its offset came with an offer
 		end             int64         // offset after the newest record
 		unchangedSince  time.Duration // boot time since which the record is known not to have changed
@@ -366,9 +367,11 @@
 		var h Holder
 		if err := cbor.Unmarshal(r.Value, &h); err != nil {
 			e.Log.Warn().Str("event", "lease-record-unreadable").Err(err).Int64("offset", r.Offset).Msg("")
+			e.unreadable = true
 
 			continue
 		}
+		e.unreadable = false
 		if h.Token != e.holder.Token {
 			e.statusRenewedAt, e.leaseTimeout = 0, e.LeaseTimeout // the recorded status and timeout refer to the previous holder
 		}
@@ -411,7 +414,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return e.holder.Token == 0 || e.holder.Released || e.SinceBoot()-e.unchangedSince >= e.leaseTimeout
+	neverHeld := e.holder.Token == 0 && !e.unreadable
+	released := e.holder.Released && !e.unreadable
+
+	return neverHeld || released || e.SinceBoot()-e.unchangedSince >= e.leaseTimeout
 }
 
 // tryAcquire acquires the lease if it is free, or if the record already names this process:
@@ -419,13 +425,13 @@
 func (e *Elector) tryAcquire(ctx context.Context) *Lease {
 	e.mu.Lock()
 	h, end := e.holder, e.end
-	mine := h.Name == e.Name && !h.Released
-	leaving := e.leaving
+	mine := h.Name == e.Name && !h.Released && !e.unreadable
+	leaving, token := e.leaving, e.nextToken()
 	e.mu.Unlock()
 	if leaving || (!mine && !e.free()) {
 		return nil
 	}
-	next := Holder{Name: e.Name, Address: e.Address, Token: h.Token + 1}
+	next := Holder{Name: e.Name, Address: e.Address, Token: token}
 	sent := e.SinceBoot()
 	newEnd, err := e.append(ctx, next, end, 1)
 	if err != nil {
@@ -437,7 +443,7 @@
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.extend(sent, e.LeaseValidity, next.Renewal)
 	e.mu.Lock()
-	e.holder, e.end, e.lease, e.unchangedSince = next, newEnd, l, sent
+	e.holder, e.end, e.lease, e.unchangedSince, e.unreadable = next, newEnd, l, sent, false
 	e.recordSighting(next)
 	l.sightings, l.predecessorEnded = slices.Clone(e.sightings), mine || e.endedToken >= h.Token
 	e.mu.Unlock()
@@ -446,6 +452,17 @@
 	return l
 }
 
+// nextToken returns the token of the next holder. If that of the newest holder cannot be read, it is
+// the time of day in seconds: tokens grow by one with each holder, so they are far lower. The caller
+// holds mu.
+func (e *Elector) nextToken() int64 {
+	if e.unreadable {
+		return max(e.holder.Token+1, time.Now().Unix())
+	}
+
+	return e.holder.Token + 1
+}
+
 // recordSighting records that a holder's token has been issued. The caller holds mu.
 func (e *Elector) recordSighting(h Holder) {
 	if n := len(e.sightings); n == 0 || h.Token > e.sightings[n-1].token {
--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -136,7 +136,7 @@
 	e.offer = nil
 	ended := e.endedToken
 	e.holder.Token, e.holder.Released = o.token, true
-	e.known, e.end = true, o.end
+	e.known, e.unreadable, e.end = true, false, o.end
 	e.endedToken = max(e.endedToken, o.token) // its holder issues no orders once the offer is accepted
 	e.mu.Unlock()
 	l := e.tryAcquire(ctx)
