--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -38,7 +38,7 @@
 		all, err := counts.split(store.Record{Key: key, Value: value}, partsRecordBytes)
 		require.NoError(t, err)
 		counts.note(all)
-		var records []store.Record
+		records := make([]store.Record, 0, len(topic))
 		for _, r := range all {
 			require.LessOrEqual(t, r.Size(), partsRecordBytes)
 			if topic[r.Key] = r; len(r.Value) == 0 {
--- a/internal/run/engine/records.go
+++ b/internal/run/engine/records.go
@@ -69,9 +69,9 @@
 func (j *job) durableProgress() work.Progress {
 	switch {
 	case j.oversize:
-		return j.Progress.WithoutTasks()
+		return j.WithoutTasks()
 	case j.unsaved:
-		return j.Progress.WithoutCheckpoints()
+		return j.WithoutCheckpoints()
 	}
 
 	return j.Progress
--- a/internal/run/engine/refused_test.go
+++ b/internal/run/engine/refused_test.go
@@ -48,6 +48,8 @@
 	})
 }
 
+const smallJobs = 5 // jobs that the store accepts, beside those that it refuses
+
 // submitRefused submits at once a job whose record the store refuses, one whose progress it refuses, and
 // some others, whose IDs it returns.
 func (r *rig) submitRefused(t *testing.T, round int) []string {
@@ -57,10 +59,8 @@
 	wide := wideJob(fmt.Sprintf("wide%d", round), 400)
 	wide.Times, wide.First = 1, time.Now().Add(2*time.Second).UnixMilli()
 	r.fleet.RecordSubmission(wide)
-	var (
-		wait  sync.WaitGroup
-		small []string
-	)
+	var wait sync.WaitGroup
+	small := make([]string, 0, smallJobs)
 	wait.Go(func() {
 		if err := eng.Submit(t.Context(), large); err != engine.ErrTooLarge {
 			t.Errorf("large job: %v", err)
@@ -71,7 +71,7 @@
 			t.Errorf("wide job: %v", err)
 		}
 	})
-	for i := range 5 {
+	for i := range smallJobs {
 		id := fmt.Sprintf("small%d-%d", round, i)
 		small = append(small, id)
 		j := wideJob(id, 2)
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -100,7 +100,7 @@
 
 		return renewal, w.recipient(), true
 	}
-	if len(w.runs) == 0 && w.durableEnd <= w.ackedEnd && !w.reportDue && !w.probeDue(e.SinceBoot()) {
+	if w.needsNoReport(e.SinceBoot()) {
 		return renewal, recipient{}, false
 	}
 	if w.seenEnd > w.durableEnd { // these ends cannot be acknowledged yet, so the worker would report them again at once
--- a/internal/run/engine/unreadable_test.go
+++ b/internal/run/engine/unreadable_test.go
@@ -89,3 +89,26 @@
 	require.Equal(t, fmt.Sprintf("%d runs, 0 discarded", tasks), r.countRuns("held"))
 	require.Empty(t, r.fleet.Violations())
 }
+
+// TestUnreadableQueue replaces the record of a queue by one that can't be read, and loses the planner. It
+// guards against jobs that wait for it while the configuration has the queue.
+func TestUnreadableQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		for _, n := range []string{"a", "b"} {
+			r.start(n)
+			time.Sleep(time.Second)
+		}
+		j := wideJob("j", 1)
+		j.Steps = append(j.Steps, work.Step{Count: 1, After: []int{0}})
+		require.True(t, r.submit(j))
+		r.store.Put(engine.JobsTopic, work.Key(work.QueueRecord, "batch"), []byte("\xff"))
+		name, _ := r.planner()
+		r.kill(name)
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "completed", r.state("j"))
+		require.Empty(t, r.fleet.Violations())
+	})
+}
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -149,6 +149,12 @@
 	w.slowUntil, w.stalledUntil, w.maintainedUntil = 0, 0, 0
 }
 
+// needsNoReport reports whether the worker has no runs, nothing is to be acknowledged to it, and no report
+// of it is due.
+func (w *worker) needsNoReport(now time.Duration) bool {
+	return len(w.runs) == 0 && w.durableEnd <= w.ackedEnd && !w.reportDue && !w.probeDue(now)
+}
+
 // holdEnd keeps an end, and those that follow, from being acknowledged.
 func (w *worker) holdEnd(number int64) {
 	if w.heldEnd == 0 || number < w.heldEnd {
