--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"math"
 	"strings"
 	"testing"
@@ -143,3 +144,19 @@
 		require.Equal(t, j.Progress, p)
 	}
 }
+
+// TestNothingToWrite schedules a job whose state has no record that differs from that in the store. It
+// guards against an append without records, after which the next one would be out of sequence.
+func TestNothingToWrite(t *testing.T) {
+	e := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
+	e.Store = &store.Store{Append: func(context.Context, store.Append) (int64, error) {
+		t.Error("call to the store")
+
+		return 0, nil
+	}}
+	called := false
+	e.writer.put(&job{Job: work.Job{ID: "j"}, durable: true}, func(err error) { called = err == nil })
+	e.writer.write(t.Context(), e.writer.nextGroup())
+	require.True(t, called)
+	require.Zero(t, e.writer.next)
+}
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -284,10 +284,7 @@
 
 // write appends a group until the outcome is known, and calls its callbacks.
 func (w *writer) write(ctx context.Context, g group) {
-	outcome := appended
-	if len(g.batches) > 0 {
-		outcome = w.append(ctx, recordsIn(g.batches))
-	}
+	outcome := w.append(ctx, recordsIn(g.batches))
 	w.e.mu.Lock()
 	defer w.e.mu.Unlock()
 	switch outcome {
@@ -314,8 +311,12 @@
 	}
 }
 
-// append appends records to JobsTopic until the outcome is known.
+// append appends records to JobsTopic until the outcome is known. Without any, it makes no call: an
+// append without records doesn't take a sequence number.
 func (w *writer) append(ctx context.Context, records []store.Record) outcome {
+	if len(records) == 0 {
+		return appended
+	}
 	began, first, refusals := w.e.SinceBoot(), true, 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
