A large append has the time that it takes on a weak link

On a link of 10 Mbit/s, shared with all else, 1 MiB takes longer: each attempt was broken off and begun anew.

Evidence: TestLargeAppendsOnWeakLink, two wide jobs and a link of 5 Mbit/s, fails with the fixed timeout. The stand-in of the store now lets appends take their time on a limited link; only pages did.

The fix, why it works: the timeout grows with the size, by a second for each 256 KiB, so each append ends on a link of 2 Mbit/s or, through another route, on one of 5 Mbit/s. For the usual ones of some kilobytes it is the same but for milliseconds. Deletions of hand-ins have the same timeout.

--- a/internal/run/engine/appendsize_test.go
+++ b/internal/run/engine/appendsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,32 @@
 	require.Equal(t, "completed", r.state("after"))
 	require.Less(t, len(r.store.Keys(engine.JobsTopic))+len(r.store.Keys(engine.HandinTopic)), 10)
 }
+
+// TestLargeAppendsOnWeakLink lets the state of wide jobs change together, while the planner's VM and the
+// other one have a link that is weak and shared. It guards against an append that takes longer than its timeout, each time
+// it is repeated, and holds up everybody's work.
+func TestLargeAppendsOnWeakLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		r.fleet.EndsPerReport = 500
+		for i := range 4 {
+			r.fleet.Add(fmt.Sprintf("%d%s", i, strings.Repeat("k", 200)), "s", "r0", work.Shape{CPU: 1 << 30, Memory: 1 << 30, Accelerators: 8})
+		}
+		for _, name := range []string{"a", "b"} {
+			r.store.Limit(name, weakLink/2)
+			r.start(name)
+			time.Sleep(time.Second)
+		}
+		for i := range 2 {
+			require.True(t, r.submit(wideJob(fmt.Sprintf("wide%d", i), 2000)))
+		}
+		time.Sleep(5 * time.Second)
+		require.True(t, r.submit(wideJob("small", 1)))
+		time.Sleep(time.Minute)
+		for _, id := range []string{"small", "wide0", "wide1"} {
+			require.Equal(t, "completed", r.state(id))
+		}
+		require.Empty(t, r.fleet.Violations())
+	})
+}
--- a/internal/run/engine/retention.go
+++ b/internal/run/engine/retention.go
@@ -142,12 +142,12 @@
 
 // appendDeletions deletes records from HandinTopic and returns its end after that.
 func (e *Engine) appendDeletions(all []handinDeletion) (int64, error) {
-	ctx, cancel := context.WithTimeout(e.ctx, appendTimeout)
-	defer cancel()
 	a := store.Append{Topic: HandinTopic, ExpectedEnd: -1}
 	for _, d := range all {
 		a.Records = append(a.Records, d.records()...)
 	}
+	ctx, cancel := context.WithTimeout(e.ctx, timeoutFor(a.Records))
+	defer cancel()
 
 	return e.Store.Append(ctx, a)
 }
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -14,6 +14,7 @@
 const (
 	maxGroupBytes = 1 << 20                // size of the largest append of several jobs' records
 	appendTimeout = 900 * time.Millisecond // timeout of one attempt, because the store may not answer at all
+	slowLink      = 256 << 10              // bytes per second that an append may need beyond that
 	appendPause   = 60 * time.Millisecond  // between attempts while the store is unavailable
 	maxRefusals   = 3                      // refusals for good, one after the other, after which an append is given up
 )
@@ -311,6 +312,12 @@
 	}
 }
 
+// timeoutFor returns the timeout of one attempt. It is longer for a large append, which takes its time on
+// the link of a weak VM and would never succeed otherwise.
+func timeoutFor(records []store.Record) time.Duration {
+	return appendTimeout + time.Duration(store.Size(records...))*time.Second/slowLink
+}
+
 // append appends records to JobsTopic until the outcome is known. Without any, it makes no call: an
 // append without records doesn't take a sequence number.
 func (w *writer) append(ctx context.Context, records []store.Record) outcome {
@@ -319,7 +326,7 @@
 	}
 	began, first, refusals := w.e.SinceBoot(), true, 0
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		call, cancel := context.WithTimeout(ctx, timeoutFor(records))
 		_, err := w.e.Store.Append(call, store.Append{
 			Topic: JobsTopic, Records: records, ExpectedEnd: -1, Producer: producer, Epoch: w.e.Lease.Token, Sequence: w.next,
 		})
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -21,7 +21,7 @@
 	turn           chan struct{} // holds a value while a chunk is being transferred
 }
 
-// Limit sets the rate at which a caller receives the pages of the newest records.
+// Limit sets the rate at which a caller receives the pages of the newest records, and sends appends.
 func (s *Store) Limit(caller string, bytesPerSecond int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,9 +42,35 @@
 		return p, s.transfer(ctx, caller, p.Records)
 	}
 
+	appendVia := c.Append
+	c.Append = func(ctx context.Context, a store.Append) (int64, error) {
+		if err := s.upload(ctx, caller, a.Records); err != nil {
+			return 0, err
+		}
+
+		return appendVia(ctx, a)
+	}
+
 	return c
 }
 
+// upload waits until a caller has sent the records of an append.
+func (s *Store) upload(ctx context.Context, caller string, records []store.Record) error {
+	s.mu.Lock()
+	l := s.links[caller]
+	s.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	for left := store.Size(records...); left > 0; left -= linkChunk {
+		if err := l.send(ctx, min(left, linkChunk)); err != nil {
+			return errors.Wrap(store.ErrUnknown, "append not sent in time")
+		}
+	}
+
+	return nil
+}
+
 // transfer waits until a caller has received a page.
 func (s *Store) transfer(ctx context.Context, caller string, records []store.Record) error {
 	s.mu.Lock()
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -197,6 +197,9 @@
 	if err := s.simulateCall(ctx, caller); err != nil {
 		return 0, err
 	}
+	if err := s.upload(ctx, caller, a.Records); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
