--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -124,27 +123,6 @@
 		lastOfferAt     time.Duration // boot time at which the lease was last offered to a stronger VM
 		wake            chan struct{}
 	}
-
-	// sighting is the first time at which this VM knew that a token had been issued.
-	sighting struct {
-		token  int64
-		at     time.Duration // boot time
-		marked bool          // the holder's name has GrantMark
-	}
-
-	// Lease is the planner's lease while this VM holds it.
-	Lease struct {
-		Token int64 // fencing token
-
-		sightings        []sighting
-		predecessorEnded bool // the previous holder was known to act no more when this lease was acquired
-		sinceBoot        func() time.Duration
-		validUntil       atomic.Int64    // boot time up to which orders may be issued
-		renewedAt        atomic.Int64    // boot time of the newest renewal
-		renewal          atomic.Int64    // number of the newest renewal
-		ctx              context.Context // cancelled when the lease ends
-		cancel           context.CancelFunc
-	}
 )
 
 // New returns an elector that has not read the lease record yet.
@@ -152,62 +130,6 @@
 	return &Elector{Config: c, leaseTimeout: c.LeaseTimeout, wake: make(chan struct{}, 1)}
 }
 
-// Valid reports whether orders may still be issued under the lease.
-func (l *Lease) Valid() bool { return int64(l.sinceBoot()) < l.validUntil.Load() }
-
-// Age returns the time since the newest renewal.
-func (l *Lease) Age() time.Duration { return l.sinceBoot() - time.Duration(l.renewedAt.Load()) }
-
-// Renewed returns the time since the newest renewal and the number of that renewal.
-func (l *Lease) Renewed() (time.Duration, int64) { return l.Age(), l.renewal.Load() }
-
-// ActiveUntil returns a boot time from which no holder of the given token or of an earlier one,
-// which must all be older than this lease, issues orders. A holder acts for at most the given
-// validity after its successor has acquired the lease, and no longer if it is known to have
-// given the lease up or to have been replaced by another process.
-func (l *Lease) ActiveUntil(token int64, validity time.Duration) time.Duration {
-	switch {
-	case token < firstToken:
-		return 0
-	case token == l.Token-1 && l.predecessorEnded:
-		return max(l.supersededAt(token), l.ActiveUntil(token-1, validity))
-	}
-
-	return l.supersededAt(token) + validity
-}
-
-// AllMarked reports whether this VM has seen every holder between the given token and this
-// lease, and the names of all of them have GrantMark.
-func (l *Lease) AllMarked(after int64) bool {
-	marked := int64(0)
-	for _, s := range l.sightings {
-		if s.token > after && s.token < l.Token && s.marked {
-			marked++
-		}
-	}
-
-	return marked == l.Token-1-after
-}
-
-// supersededAt returns the earliest boot time at which this VM knew that a later token than
-// the given one had been issued.
-func (l *Lease) supersededAt(token int64) time.Duration {
-	for _, s := range l.sightings {
-		if s.token > token {
-			return s.at
-		}
-	}
-
-	return l.sinceBoot()
-}
-
-// Invalidate invalidates the lease and cancels its context, which stops the planner. It is
-// called when another holder has been seen or the lease is given up.
-func (l *Lease) Invalidate() {
-	l.validUntil.Store(0)
-	l.cancel()
-}
-
 // Holder returns the newest known holder. It reports false if the lease has not been read
 // yet or has been released.
 func (e *Elector) Holder() (Holder, bool) {
@@ -470,14 +392,6 @@
 	}
 }
 
-// extend records a renewal sent at boot time sent, after which the holder may act for the
-// given validity.
-func (l *Lease) extend(sent, validity time.Duration, renewal int64) {
-	l.renewedAt.Store(int64(sent))
-	l.renewal.Store(renewal)
-	l.validUntil.Store(int64(sent + validity))
-}
-
 // append writes the lease record on condition that the topic still ends at offset at. It
 // sends up to tries copies while no answer arrives.
 func (e *Elector) append(ctx context.Context, h Holder, at int64, tries int) (int64, error) {
