A job that the store refuses is not started

What could happen (REFUSED): a job is rejected with code 21, because the store refuses its record, and one of its tasks starts all the same.

The callback of that placement is then called as if it were durable: a job that is dropped isn't written any more.

TestRefusedJobNotStarted plays the order of events and fails without the change; TestRefusedRecords now records the refusal, so that such a start is a violation.

The fix, why it works: the placed units are aborted together with the refusal, before any callback is called; their members are released, and a start that is queued for a released one isn't sent.

--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -174,11 +174,7 @@
 func (e *Engine) endJob(j *job, p work.Phase) {
 	j.Phase = p
 	j.Ended = e.Now().UnixMilli()
-	for _, u := range e.units {
-		if u.job == j {
-			e.abort(u, "job "+p.String())
-		}
-	}
+	e.abortUnits(j, "job "+p.String())
 	if e.held[j.ID] {
 		e.endHold(j.ID)
 	}
@@ -186,6 +182,15 @@
 	e.requestPass()
 }
 
+// abortUnits stops all runs of a job.
+func (e *Engine) abortUnits(j *job, why string) {
+	for _, u := range e.units {
+		if u.job == j {
+			e.abort(u, why)
+		}
+	}
+}
+
 // State returns a job's durable phase, or Running for a queued job that has started.
 func (e *Engine) State(id, workspace string) (work.Phase, error) {
 	e.mu.Lock()
--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -14,6 +14,7 @@
 	"sesameyoke/internal/core/policy"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/store"
+	"sesameyoke/internal/peer/target"
 )
 
 const (
@@ -160,3 +161,26 @@
 	require.True(t, called)
 	require.Zero(t, e.writer.next)
 }
+
+// TestRefusedJobNotStarted lets the store refuse a job while its tasks are placed. It guards against a
+// start of a job whose caller is told that it wasn't accepted.
+func TestRefusedJobNotStarted(t *testing.T) {
+	e := partsEngine(work.DefaultRecordBytes, store.DefaultRequestBytes)
+	j := &job{Job: work.Job{ID: "j", Steps: []work.Step{{Count: 1}}}, doneRunTimes: map[occurStep]runTimeSum{}}
+	e.keep(j)
+	e.writer.put(j, func(err error) { require.ErrorIs(t, err, ErrTooLarge) })
+	g := e.writer.nextGroup()
+	j.Phase, j.Occurs = work.Running, []work.Occurrence{work.NewOccurrence(&j.Job)}
+	j.Occurs[0].Steps[0][0] = work.TaskState{Phase: work.Assigned, Run: 1}
+	u := &unit{name: unitName(j, 0, 0, 0), job: j, run: 1}
+	m := &member{unit: u, worker: e.newWorker(target.Worker{ID: "k"})}
+	e.units[u.name] = u
+	e.reserve(m)
+	e.writer.put(j, func(error) { e.starts.push(m, 0) })
+	refusals, ok := e.writer.writeApart(t.Context(), g.batches)
+	require.True(t, ok)
+	e.writer.settleApart(g.callbacks, refusals)
+	e.writer.write(t.Context(), e.writer.nextGroup())
+	require.Equal(t, released, m.phase)
+	require.Empty(t, e.jobs)
+}
--- a/internal/run/engine/refused.go
+++ b/internal/run/engine/refused.go
@@ -78,6 +78,7 @@
 		e.Log.Error().Str("event", "job-refused").Str("id", j.ID).Int("code", int(code.TooLarge)).Msg("")
 		j.Phase, j.durablePhase, j.dropped = work.Failed, work.Failed, true
 		e.forget(j)
+		e.abortUnits(j, "job refused") // placed since the append began; none has been started
 	case j.oversize:
 		e.Log.Error().Str("event", "record-refused").Str("id", j.ID).Int("code", int(code.TooLarge)).Msg("")
 		j.durablePhase = j.Phase
--- a/internal/run/engine/refused_test.go
+++ b/internal/run/engine/refused_test.go
@@ -61,10 +61,12 @@
 	r.fleet.RecordSubmission(wide)
 	var wait sync.WaitGroup
 	small := make([]string, 0, smallJobs)
+	r.fleet.RecordSubmission(large)
 	wait.Go(func() {
 		if err := eng.Submit(t.Context(), large); err != engine.ErrTooLarge {
 			t.Errorf("large job: %v", err)
 		}
+		r.fleet.RecordRefusal(large.ID)
 	})
 	wait.Go(func() {
 		if err := eng.Submit(t.Context(), wide); err != nil {
