--- a/review/_platform2/cases.go
+++ b/review/_platform2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -153,65 +154,6 @@
 	return !inTime, nil
 }
 
-// flapping hands in a job that needs a minion of kind b, of which there are two among 20. Both go down
-// and up by turns for 6.8 s.
-func flapping(d *day, trouble bool) (bool, error) {
-	const (
-		length = 3 * time.Second // of each task
-		flaps  = 6800 * time.Millisecond
-		period = 1400 * time.Millisecond
-		watch  = 25 * time.Second
-	)
-	d.fleet.outcome = func(string, int64, string) plan { return plan{length, "done"} }
-	if _, err := d.addMinions(18, "a"); err != nil {
-		return false, err
-	}
-	few, err := d.addMinions(2, "b")
-	if err != nil {
-		return false, err
-	}
-	d.northAndSouth()
-	if err := d.startVMs(); err != nil {
-		return false, err
-	}
-	id := newID()
-	if !d.submit(plain(oneTenant), id, jobRequest{Spec: "b only", Steps: []step{{Count: 2, CPU: 8000, MemMb: 32000, GPU: 8, EstimateMs: 3000, Requires: "b"}}}) {
-		return false, errors.New("the job was not accepted")
-	}
-	if !await(5*time.Second, func() bool { return len(d.record.startsOf(id)) == 2 }) {
-		return false, errors.New("the job has not begun")
-	}
-	if trouble {
-		time.Sleep(500 * time.Millisecond)
-		for until := time.Now().Add(flaps); time.Now().Add(period / 2).Before(until); {
-			for _, m := range few {
-				m.crash()
-			}
-			time.Sleep(period / 2)
-			for _, m := range few {
-				if err := m.start(); err != nil {
-					return false, err
-				}
-			}
-			time.Sleep(period / 2)
-		}
-	}
-	state := ""
-	await(watch, func() bool {
-		time.Sleep(500 * time.Millisecond)
-		state, _ = d.state(plain(oneTenant), id)
-
-		return state == "completed" || state == "failed" || state == "canceled"
-	})
-	n := len(d.record.endsOf(id, "failed"))
-	d.record.add("the job is shown as %q; %d of its runs have ended failed; its queue allows %d attempts of a task", state, n, attempts)
-	if state != "completed" && state != "failed" {
-		return true, nil // not done though nothing is in its way
-	}
-
-	return state == "failed" && n < attempts, nil
-}
-
 // lostCopy lets two minions reset their connections for 7.7 s, one after the other: first that with
 // the first run of a task, which ends there meanwhile, and then that with the run's copy.
 func lostCopy(d *day, trouble bool) (bool, error) {
@@ -240,7 +182,7 @@
 	}
 	if !d.submit(plain(oneTenant), job, jobRequest{
 		Spec: "copied", Times: 2, StartAtMs: time.Now().UnixMilli(), IntervalMs: 600_000,
-		Steps: []step{{Count: 1, CPU: 4000, MemMb: 8000, GPU: 1, EstimateMs: 1500, Speculative: true, AntiAffinity: 1}},
+		Steps: []step{{Count: 1, CPU: 4000, MemMb: 8000, GPU: 1, EstimateMs: 1500, Speculative: true, PerMinion: 1}},
 	}) {
 		return false, errors.New("the job was not accepted")
 	}
@@ -405,3 +347,65 @@
 
 	return state != "completed", nil
 }
+
+// oldClock crashes one of ten minions, which have run nothing for 45 s. It is back after 0.5 s, gets a
+// task, and crashes for good before its first heartbeat.
+func oldClock(d *day, trouble bool) (bool, error) {
+	const (
+		idle   = 45 * time.Second
+		down   = 500 * time.Millisecond
+		up     = 700 * time.Millisecond // until the task comes
+		runs   = 500 * time.Millisecond // until the second crash
+		length = 5 * time.Second
+		finish = 14 * time.Second // finish_s
+		window = 3 * time.Second
+	)
+	d.fleet.outcome = func(string, int64, string) plan { return plan{length, "done"} }
+	d.northAndSouth()
+	if err := d.startVMs(); err != nil {
+		return false, err
+	}
+	all, err := d.addMinions(10, "a")
+	if err != nil {
+		return false, err
+	}
+	first := slices.MinFunc(all, func(a, b *minion) int { return cmp.Compare(a.id, b.id) })
+	time.Sleep(idle)
+	if trouble {
+		first.mu.Lock()
+		first.firstBeat = heartbeat
+		first.mu.Unlock()
+		first.crash()
+		time.Sleep(down)
+		if err := first.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(up)
+	}
+	id := newID()
+	if !d.submit(urgent(oneTenant), id, jobRequest{Spec: "one task", Steps: []step{{Count: 1, CPU: 8000, MemMb: 32000, GPU: 8, EstimateMs: 5000}}}) {
+		return false, errors.New("the job was not accepted")
+	}
+	if !await(5*time.Second, func() bool { return len(d.record.startsOf(id)) == 1 }) {
+		return false, errors.New("the job has not begun")
+	}
+	if trouble {
+		if d.record.startsOf(id)[0].minion != first.id {
+			return false, errors.New("the task is on another minion")
+		}
+		time.Sleep(runs)
+		first.crash()
+	}
+	again := func() bool {
+		return len(d.record.startsOf(id)) > 1 || len(d.record.endsOf(id, "done")) > 0
+	}
+	inTime := await(finish+window, again)
+	d.record.add("%v later the task runs again or is done: %t; nine minions run nothing", finish+window, inTime)
+	if !inTime {
+		began := time.Now()
+		d.record.add("then: %t, after %v more", await(35*time.Second, again), time.Since(began).Round(time.Second))
+	}
+	d.state(urgent(oneTenant), id)
+
+	return !inTime, nil
+}
--- a/review/_platform2/main.go
+++ b/review/_platform2/main.go
@@ -29,7 +29,7 @@
 // cases are the scenarios by name. Each reports whether the rule was broken, or an error if the case
 // could not run.
 var cases = map[string]func(d *day, trouble bool) (bool, error){
-	"reclaim": reclaim, "lasting": lasting, "flapping": flapping, "copy": lostCopy, "pending": pendingJobs, "clock": earlierBirth,
+	"reclaim": reclaim, "lasting": lasting, "copy": lostCopy, "pending": pendingJobs, "clock": earlierBirth, "uptime": oldClock,
 }
 
 func main() {
@@ -174,7 +174,7 @@
 		"version": 7, "routes": routes, "tenants": all, "limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "spare": false}},
 	})
-	d.store.put(operator, "config", b)
+	d.store.put(names["operator"], "config", b)
 }
 
 func urgent(key string) queue { return queue{host, "/urgent/", key} }
--- a/review/_platform2/minion.go
+++ b/review/_platform2/minion.go
@@ -68,6 +68,10 @@
 		ends     []end
 		endCount int64
 		sequence int64
+
+		firstBeat time.Duration // from the start of a life to its first heartbeat
+		beatAt    time.Time     // when the next heartbeat is due
+		listed    bool          // has an entry in the store
 	}
 
 	run struct {
@@ -86,14 +90,13 @@
 	}
 
 	orderBody struct {
-		Task         string `json:"task"`
-		RunID        int64  `json:"runId"`
-		Spec         string `json:"spec"`
-		DeadlineMs   int64  `json:"deadlineMs"`
-		FencingToken int64  `json:"fencingToken"`
-		AckCursor    int64  `json:"ackCursor"`
-		WaitMs       int64  `json:"waitMs"`
-		Percent      int    `json:"percent"`
+		Task         string
+		RunID        int64
+		Spec         string
+		DeadlineMs   int64
+		FencingToken int64
+		AckCursor    int64
+		WaitMs       int64
 	}
 )
 
@@ -106,19 +109,12 @@
 	if err := m.start(); err != nil {
 		return err
 	}
-	go func() {
-		for {
-			time.Sleep(heartbeat)
-			m.mu.Lock()
-			m.publish()
-			m.mu.Unlock()
-		}
-	}()
 	go func() {
 		for {
 			time.Sleep(tick)
 			m.mu.Lock()
 			m.advance()
+			m.beat()
 			m.mu.Unlock()
 		}
 	}()
@@ -140,7 +136,8 @@
 	life := m.began
 	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(w, r, life) })}
 	go func(s *http.Server) { _ = s.Serve(ln) }(m.server)
-	m.publish()
+	m.beatAt = m.began.Add(m.firstBeat)
+	m.beat()
 	m.fleet.record.add("minion %s starts, born %d, kind %s", m.id, m.born, m.kind)
 
 	return nil
@@ -156,18 +153,31 @@
 	_ = server.Close()
 }
 
+// beat writes the minion's entry in the store when that is due, and removes the entry of a minion that
+// has been silent for three heartbeats. m.mu is held.
+func (m *minion) beat() {
+	now := time.Now()
+	switch {
+	case m.up && !now.Before(m.beatAt):
+		m.beatAt = m.beatAt.Add(heartbeat)
+		m.publish()
+	case !m.up && m.listed && now.After(m.beatAt.Add(2*heartbeat)):
+		m.listed = false
+		m.fleet.store.put(names["servers"], m.id, nil)
+		m.fleet.record.add("the entry of minion %s is removed", m.id)
+	}
+}
+
 // publish writes the minion's entry in the store. m.mu is held.
 func (m *minion) publish() {
-	if !m.up {
-		return
-	}
 	m.sequence++
+	m.listed = true
 	b, _ := json.Marshal(map[string]any{
 		"service": m.fleet.service, "address": m.address, "zone": "z1", "version": "v1", "capacity": 8, "state": "ready", "coldRemainingMs": 0,
-		"headroom": map[string]int{"cpu": m.cpu, "memMb": m.mem, "gpu": m.gpu}, "labels": []string{m.kind, m.rack}, "clockMs": m.clock(),
+		names["capacity"]: map[string]int{"cpu": m.cpu, names["memory"]: m.mem, "gpu": m.gpu}, "labels": []string{m.kind, m.rack}, "clockMs": m.clock(),
 		"born": m.born, "sequence": m.sequence,
 	})
-	m.fleet.store.put(servers, m.id, b)
+	m.fleet.store.put(names["servers"], m.id, b)
 }
 
 func (m *minion) clock() int64 { return time.Since(m.began).Milliseconds() }
@@ -233,7 +243,7 @@
 	if m.isMute() {
 		panic(http.ErrAbortHandler)
 	}
-	if id := r.Header.Get("Expected-Instance"); id != "" && id != m.id {
+	if id := r.Header.Get(names["instance"]); id != "" && id != m.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 
 		return
@@ -342,7 +352,7 @@
 	for _, e := range m.ends[:min(len(m.ends), endsListed)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	answer(w, http.StatusOK, map[string]any{"clockMs": m.clock(), "born": m.born, "running": running, "endedRuns": ended})
+	answer(w, http.StatusOK, map[string]any{"clockMs": m.clock(), "born": m.born, "running": running, names["ended"]: ended})
 }
 
 // jobOf returns the ID of the job that a task's name begins with.
--- a/review/_platform2/store.go
+++ b/review/_platform2/store.go
@@ -17,8 +17,6 @@
 	pageRecords  = 500                  // records on a page of the newest ones
 	pageBytes    = 1 << 20
 	lengthBytes  = 4
-	operator     = "keyed.op"
-	servers      = "keyed.servers"
 	recordsLimit = 262144
 )
 
@@ -87,11 +85,11 @@
 
 func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/log-append":
+	case names["append"]:
 		s.append(w, r)
 	case "/log-read":
 		s.read(w, r)
-	case "/log-newest":
+	case names["newest"]:
 		s.newest(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -138,7 +136,7 @@
 
 		return
 	}
-	if name == operator || name == servers {
+	if name == names["operator"] || name == names["servers"] {
 		w.WriteHeader(http.StatusForbidden)
 
 		return
--- a/review/_platform2/vm.go
+++ b/review/_platform2/vm.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -53,17 +54,11 @@
 
 	// step is a step of a job as clients send it.
 	step struct {
-		Count        int    `json:"count"`
-		CPU          int    `json:"cpu"`
-		MemMb        int    `json:"memMb"`
-		GPU          int    `json:"gpu"`
-		EstimateMs   int    `json:"estimateMs"`
-		DependsOn    []int  `json:"dependsOn,omitempty"`
-		Requires     string `json:"requires,omitempty"`
-		Speculative  bool   `json:"speculative,omitempty"`
-		LongRunning  bool   `json:"longRunning,omitempty"`
-		MayMiss      int    `json:"mayMiss,omitempty"`
-		AntiAffinity int    `json:"antiAffinity,omitempty"`
+		Count, CPU, MemMb, GPU, EstimateMs int
+		DependsOn                          []int
+		Requires                           string
+		Speculative, LongRunning           bool
+		MayMiss, PerMinion                 int
 	}
 
 	jobRequest struct {
@@ -75,6 +70,20 @@
 	}
 )
 
+// MarshalJSON encodes a step without the fields whose value is 0, false or empty.
+func (s step) MarshalJSON() ([]byte, error) {
+	all := map[string]any{
+		"count": s.Count, "cpu": s.CPU, names["memory"]: s.MemMb, "gpu": s.GPU, "estimateMs": s.EstimateMs, "requires": s.Requires,
+		"speculative": s.Speculative, "longRunning": s.LongRunning, "mayMiss": s.MayMiss, names["perMinion"]: s.PerMinion,
+	}
+	maps.DeleteFunc(all, func(_ string, v any) bool { return v == 0 || v == false || v == "" })
+	if len(s.DependsOn) > 0 {
+		all["dependsOn"] = s.DependsOn
+	}
+
+	return json.Marshal(all)
+}
+
 // settingsOf returns the settings file of a machine, with the figures of the small deployments.
 func (d *day) settingsOf(v *vm, zone string) string {
 	return fmt.Sprintf(`nodeName: %q
@@ -120,7 +129,7 @@
 
 func (v *vm) start() error {
 	c := exec.Command(program, "entry")
-	c.Env = append(os.Environ(), "SESAMEYOKE_BOOT="+v.settings)
+	c.Env = append(os.Environ(), names["settings"]+"="+v.settings)
 	c.Stdout, c.Stderr = v.log, v.log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
