Speeds of uneven workers; moves only where a job gains

Cause: the speed of a worker was learned with a fixed weight at the end of runs, and lost with the planner; a run on a slow or stalled worker was moved whenever it would end sooner elsewhere, also where its job had time to spare.

Runs of one step or gang are compared with each other. In an uneven fleet urgent gangs get fast workers, and the speeds are recorded for the next planner. A run is moved if its job falls into a better class by it, or if it keeps a checkpoint.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -63,6 +64,8 @@
 		Length       time.Duration // expected run time of a task
 		Reserves     bool          // a gang that gets a reservation if it does not fit
 		SpeedWeight  float64       // placement cost per unit of slowdown above 1
+		MaxSlowdown  float64       // on slower workers the unit misses its objective; 0 if that is not known, or if it does anyway
+		SparesFast   bool          // a gang that leaves fast workers to others, unless all its members can have one
 		HasClaim     bool          // some worker is claimed by the unit
 		UsesSpares   bool          // may use spare workers whatever its priority
 		Overdue      bool          // has waited too long beside free capacity: its preferences and others' reservations no longer keep it waiting
@@ -97,6 +100,8 @@
 	cpuContentionCost  = 4.0  // cost to a best-effort task of a worker whose CPU demand equals its capacity
 	remoteRackCost     = 10.0 // cost of a worker outside the rack that holds the data
 	rackSlowdownWeight = 24   // free accelerators on a rack that weigh as much as a slowdown cost of 1
+	fastWorker         = 0.75 // slowdown up to which a worker is fast
+	sparedFastCost     = 0.5  // cost to a gang, per unit of difference, of a worker whose speed it cannot use
 	slowWorkerCost     = 5.0  // cost per unit of slowdown of a worker at or above slowThreshold
 )
 
@@ -131,11 +136,13 @@
 
 // makeRoom evicts runs for a unit of which no task fits, or reserves workers for it.
 func makeRoom(workers []Worker, racks []rack, u *Unit, r *Result) {
-	if u.MayEvict && evict(workers, racks, u, r) {
+	anySpeed := *u
+	anySpeed.MaxSlowdown = 0
+	if u.MayEvict && evict(workers, racks, &anySpeed, r) {
 		return
 	}
 	if u.Reserves && u.Gang && !u.HasClaim {
-		reserve(workers, racks, u)
+		reserve(workers, racks, &anySpeed)
 	}
 }
 
@@ -216,9 +223,38 @@
 	return placeAsPreferred(workers, racks, &relaxed)
 }
 
-// placeAsPreferred chooses workers for a unit: for all tasks of a gang or for none, for as many
-// of other tasks as fit.
+// placeAsPreferred chooses workers for a unit: first among fast ones for an urgent gang, then among
+// those that are fast enough for its objective, then among all.
 func placeAsPreferred(workers []Worker, racks []rack, u *Unit) assignment {
+	for _, limit := range u.speedLimits() {
+		limited := *u
+		limited.MaxSlowdown, limited.SparesFast = limit, false
+		if a := placeWithin(workers, racks, &limited); len(a.byTask) == len(u.Tasks) {
+			return a
+		}
+	}
+	anySpeed := *u
+	anySpeed.MaxSlowdown = 0
+
+	return placeWithin(workers, racks, &anySpeed)
+}
+
+// speedLimits returns the limits of the workers' slowdown that are tried in turn.
+func (u *Unit) speedLimits() []float64 {
+	var limits []float64
+	if u.SparesFast && u.Priority == preemptingPriority {
+		limits = append(limits, fastWorker)
+	}
+	if u.MaxSlowdown > 0 {
+		limits = append(limits, u.MaxSlowdown)
+	}
+
+	return limits
+}
+
+// placeWithin chooses workers for a unit: for all tasks of a gang or for none, for as many of
+// other tasks as fit.
+func placeWithin(workers []Worker, racks []rack, u *Unit) assignment {
 	if u.Gang && u.SameRack {
 		return placeOnRack(workers, racks, u)
 	}
@@ -380,6 +416,8 @@
 		return 0
 	case w.Slowdown >= slowThreshold:
 		return slowWorkerCost * w.Slowdown
+	case u.SparesFast:
+		return math.Abs(w.Slowdown-1) * sparedFastCost
 	}
 
 	return u.SpeedWeight * (w.Slowdown - 1)
@@ -399,6 +437,8 @@
 		return false
 	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
 		return false
+	case u.MaxSlowdown > 0 && w.Slowdown > u.MaxSlowdown:
+		return false
 	case u.DataRackOnly && w.Rack != u.DataRack:
 		return false
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -35,6 +35,8 @@
 				return overdue(t, workers, d)
 			case "rank":
 				return rank(t, d)
+			case "slowest":
+				return slowest(t, d)
 			case "mayevict":
 				return mayEvict(t, d)
 			}
@@ -45,7 +47,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [slowdown=N] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -56,6 +58,12 @@
 		require.NoError(t, err)
 		w := placement.Worker{Rack: f[0], Labels: []string{f[0]}, Schedulable: true, Free: shape(free), Capacity: shape(capacity)}
 		for _, r := range f[2:] {
+			if v, ok := strings.CutPrefix(r, "slowdown="); ok {
+				_, err := fmt.Sscan(v, &w.Slowdown)
+				require.NoError(t, err)
+
+				continue
+			}
 			if r == "nobesteffort" {
 				w.NoBestEffort = true
 
@@ -90,7 +98,7 @@
 
 // readUnits parses lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
 // [guaranteed] [reserves] [spares] [overdue] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
-// [spread=N] [avoid=WORKER]".
+// [sparesfast] [maxslowdown=N] [spread=N] [avoid=WORKER]".
 func readUnits(t *testing.T, input string) []placement.Unit {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -121,6 +129,10 @@
 				u.Guaranteed = true
 			case "reserves":
 				u.Reserves = true
+			case "sparesfast":
+				u.SparesFast = true
+			case "maxslowdown":
+				_, err = fmt.Sscan(v, &u.MaxSlowdown)
 			case "length":
 				u.Length = seconds(t, v)
 			case "near":
@@ -264,3 +276,16 @@
 		}
 	}
 }
+
+// slowest returns the slowdown of the slowest workers on which a unit meets its objective.
+func slowest(t *testing.T, d *datadriven.TestData) string {
+	arg := func(name string) time.Duration {
+		var v string
+		d.ScanArgs(t, name, &v)
+
+		return seconds(t, v)
+	}
+	in := placement.RankInput{Waited: arg("waited"), Remaining: arg("remaining"), Objective: arg("objective")}
+
+	return fmt.Sprintf("%.2f", placement.MaxSlowdown(in, arg("length")))
+}
--- a/internal/core/placement/rank.go
+++ b/internal/core/placement/rank.go
@@ -24,6 +24,7 @@
 	lateFactor    = 3   // multiple of the objective until which a job's result has value
 	rankStep      = 1e9 // distance between ranks in the sort key, in seconds
 	priorityStep  = 1e6 // distance between priorities within a rank
+	minSpeedup    = 0.3 // no worker needs less than this share of the usual time
 	estimateSlack = 0.5 // relative error allowed for the estimate of the remaining run time
 )
 
@@ -47,6 +48,23 @@
 	return rankWorthless
 }
 
+// MaxSlowdown returns the slowdown of the slowest workers on which a unit can still end within its
+// objective, or 0 if any or none will do. The length is that of the unit on a usual worker. It
+// answers a load of urgent gangs on uneven workers: a gang that has lost time meets its objective
+// only on fast workers.
+func MaxSlowdown(s RankInput, length time.Duration) float64 {
+	if s.Objective == 0 || length <= 0 {
+		return 0
+	}
+	following := max(0, s.Remaining-length)
+	limit := float64(s.Objective-s.Waited-following) / float64(length)
+	if limit < minSpeedup || limit > slowThreshold {
+		return 0
+	}
+
+	return limit
+}
+
 // ExpectedRunTime estimates a run time as the geometric mean of the declared one, which is
 // often far off, and the usual one of the queue, which does not tell long jobs from
 // short ones.
--- a/internal/core/straggler/straggler.go
+++ b/internal/core/straggler/straggler.go
@@ -15,6 +15,7 @@
 	moveCost      = 600 * time.Millisecond  // time to stop a run and start it on another worker
 	moveFactor    = 1.3                     // minimum ratio of the remaining time without a move to that with one
 	leaveLag      = 300 * time.Millisecond  // an announcement of leaving is this old when it is read
+	lateFactor    = 3                       // multiple of the objective until which a job's result has value
 	fullPercent   = 100
 )
 
@@ -57,6 +58,9 @@
 		Length      time.Duration // usual run time from start to end
 		Checkpoints bool          // writes checkpoints: a moved run keeps its progress
 		LeavesIn    time.Duration // time until its worker may leave; negative if it stays
+		Elapsed     time.Duration // since its job was accepted
+		Following   time.Duration // expected time from its end to the end of the job
+		Objective   time.Duration // time within which the job should end, from its acceptance; 0 for none
 	}
 )
 
@@ -170,10 +174,31 @@
 	return time.Duration(rest*float64(r.Length)) + moveCost
 }
 
+// Classes of the end of a job, from best to worst.
+const (
+	onTime    = iota // within its objective
+	late             // its result still has value
+	worthless        // later than lateFactor times its objective
+)
+
+// class returns the class of the job's end if the run ends after the given time.
+func (r Run) class(left time.Duration) int {
+	switch end := r.Elapsed + left + r.Following; {
+	case end <= r.Objective:
+		return onTime
+	case end <= lateFactor*r.Objective:
+		return late
+	}
+
+	return worthless
+}
+
 // ShouldMove reports whether a run should be stopped and started on another worker: because
-// its worker leaves before the run ends, or because it ends sooner there by moveFactor. It
-// answers workers that are taken away at short notice: one that is expected to stay longer than
-// announced throws away the work of a whole gang.
+// its worker leaves before the run ends, or because it ends sooner there by moveFactor and its job
+// falls into a better class. It answers workers that are taken away at short notice: one that is
+// expected to stay longer than announced throws away the work of a whole gang. And it answers
+// workers that slow down or stall under jobs with time to spare, whose work would be thrown away
+// for nothing.
 func (r Run) ShouldMove() bool {
 	if r.Length <= 0 || r.Track.Percent() >= fullPercent {
 		return false
@@ -188,6 +213,10 @@
 			return true
 		}
 	}
+	moved := r.RemainingIfMoved()
+	if float64(left) <= moveFactor*float64(moved) {
+		return false
+	}
 
-	return float64(left) > moveFactor*float64(r.RemainingIfMoved())
+	return r.Objective == 0 || r.Checkpoints || r.class(moved) < r.class(left)
 }
--- a/internal/core/straggler/straggler_test.go
+++ b/internal/core/straggler/straggler_test.go
@@ -83,7 +83,8 @@
 }
 
 func readRun(t *testing.T, d *datadriven.TestData, k *straggler.Track) straggler.Run {
-	return straggler.Run{Track: k, Length: durationArg(t, d, "usual", 0), Checkpoints: d.HasArg("saves"), LeavesIn: durationArg(t, d, "leaves", -1)}
+	return straggler.Run{Track: k, Length: durationArg(t, d, "usual", 0), Checkpoints: d.HasArg("saves"), LeavesIn: durationArg(t, d, "leaves", -1),
+		Elapsed: durationArg(t, d, "elapsed", 0), Following: durationArg(t, d, "following", 0), Objective: durationArg(t, d, "objective", 0)}
 }
 
 // workerSlowdown returns the slowdown of a worker with the named runs, all of the same
--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -19,6 +19,7 @@
 	queuePrefix    = "q/"
 	stalePrefix    = "stale/"
 	partPrefix     = "part/"
+	speedPrefix    = "speed/"
 )
 
 // Kinds of record.
@@ -32,6 +33,7 @@
 	QueueRecord                    // what jobs need to know of their queue, by the queue's name
 	StaleRecord                    // restarted workers that an order for their earlier clock may reach; written only by the planner
 	PartRecord                     // part of a value that is larger than a record; written only by the planner
+	SpeedRecord                    // estimated speeds of the workers of an uneven fleet; written only by the planner
 )
 
 // Kind is the kind of a record.
@@ -39,7 +41,7 @@
 
 var keyPrefixes = map[Kind]string{
 	OpenRecord: openPrefix, CancelRecord: cancelPrefix, ProgressRecord: progressPrefix, WaveRecord: wavePrefix, SilentRecord: silentPrefix, CrashRecord: crashPrefix, QueueRecord: queuePrefix,
-	StaleRecord: stalePrefix, PartRecord: partPrefix,
+	StaleRecord: stalePrefix, PartRecord: partPrefix, SpeedRecord: speedPrefix,
 }
 
 // Key returns the key of a record of a job or a queue.
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -221,6 +221,7 @@
 		}
 	}
 	e.relaxConstraints(c, f)
+	e.addSpeedLimit(c)
 	e.keepApart(c, f)
 	e.assessOverdue(c, f)
 }
--- a/internal/run/engine/progress.go
+++ b/internal/run/engine/progress.go
@@ -84,6 +84,7 @@
 			continue
 		}
 		baseline := e.runTimeBaseline(m)
+		baseline.Length = time.Duration(float64(baseline.Length) * m.worker.speedRatio())
 		switch {
 		case m.track.Stalled(baseline.Length):
 			stalled++
@@ -123,14 +124,14 @@
 	w.currentSlowdown, w.slowUntil = factor, now+slowPeriod
 }
 
-// runTimeBaseline returns the usual run time of a member's task, as a baseline for its
+// runTimeBaseline returns the run time of a member's task on a usual worker, as a baseline for its
 // progress. It is estimated from the other members of its gang, which do equal work, else
 // from the other tasks of its step, else from its queue.
 func (e *Engine) runTimeBaseline(m *member) straggler.Baseline {
 	var gangLengths []time.Duration
 	for _, o := range m.unit.members {
 		if l := o.track.Length(); o != m && l > 0 {
-			gangLengths = append(gangLengths, l)
+			gangLengths = append(gangLengths, time.Duration(float64(l)/o.worker.speedRatio()))
 		}
 	}
 	if len(gangLengths) > 0 {
@@ -161,6 +162,7 @@
 		}
 		if l := u.members[0].track.Length(); l > 0 {
 			key := u.stepKey()
+			l = time.Duration(float64(l) / u.members[0].worker.speedRatio())
 			e.peerRunTimes[key] = append(e.peerRunTimes[key], l)
 		}
 	}
@@ -172,10 +174,10 @@
 // slowdown returns how much longer than usual runs take on the worker now, as a factor.
 func (w *worker) slowdown(now time.Duration) float64 {
 	if now < w.slowUntil {
-		return w.baseSlowdown * w.currentSlowdown
+		return w.factor() * w.currentSlowdown
 	}
 
-	return w.baseSlowdown
+	return w.factor()
 }
 
 // updateBaseSlowdowns updates the base slowdown of a completed unit's workers. Each run time
@@ -220,6 +222,7 @@
 		return
 	}
 	e.reviewedAt = now
+	e.reviewSpeeds(now)
 	e.collectPeerRunTimes()
 	e.startCopies()
 	var f *fleetSnapshot
@@ -272,10 +275,18 @@
 	if m.worker.Draining {
 		r.LeavesIn = max(0, m.worker.staysUntil-now)
 	}
+	e.addObjective(&r, u)
 
 	return r.ShouldMove()
 }
 
+// addObjective adds what tells whether the unit's job ends within its objective.
+func (e *Engine) addObjective(r *straggler.Run, u *unit) {
+	in := e.rankInputs(u.job, u.occur, false)
+	r.Elapsed, r.Objective = in.Waited, in.Objective
+	r.Following = max(0, in.Remaining-e.expectedRunTime(u.job, u.step))
+}
+
 // mustStopBeforeLeaving reports whether a run must be stopped now to keep its progress, even
 // if there is no room for it elsewhere: it writes checkpoints and its worker is about to leave.
 func (e *Engine) mustStopBeforeLeaving(m *member, now time.Duration) bool {
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -195,6 +195,8 @@
 		e.loadSilent(r.Value)
 	case work.StaleRecord:
 		e.loadStale(r.Value)
+	case work.SpeedRecord:
+		e.loadSpeeds(r.Value)
 	case work.QueueRecord:
 		e.applyQueueJobs(r)
 	default:
--- a/internal/run/engine/runtimes.go
+++ b/internal/run/engine/runtimes.go
@@ -46,7 +46,7 @@
 		took = boot - m.began
 	}
 
-	return time.Duration(float64(took) / m.worker.baseSlowdown)
+	return time.Duration(float64(took) / m.worker.factor())
 }
 
 // expectedRunTime returns the expected run time of a step's task.
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -60,6 +60,7 @@
 		crash          *crash.Run    // crash of the worker that may have ended the run; nil if none is known
 		track          straggler.Track
 		tracking       bool          // track holds a first reading
+		speedCounted   bool          // its run time has been compared with others
 		usage          int           // tail latency in milliseconds of a serving task, else thousandths of a core in use
 		confirmedShare int           // CPU share in percent that the worker has confirmed; negative if not known
 		shareInFlight  bool          // an order that sets the CPU share is in flight
@@ -214,6 +215,7 @@
 	e.stopSibling(u)
 	e.recordRunTime(u)
 	e.updateBaseSlowdowns(u)
+	e.keepDone(u)
 	e.endOccurrence(u.job, u.occur)
 	e.writer.put(u.job, nil)
 	e.requestPass()
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameyoke/internal/core/cpushare"
+	"sesameyoke/internal/core/speed"
 	"sesameyoke/internal/core/straggler"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
@@ -57,13 +58,15 @@
 	baseSlowdown    float64                 // long-term estimate of how much longer than usual its runs take
 	currentSlowdown float64                 // additional temporary factor, until slowUntil
 	slowUntil       time.Duration           // counts as slow until then
+	speed           speed.Estimate          // estimated speed, used in an uneven fleet
+	speedFactor     float64                 // run time relative to the usual one by that estimate; 0 in an even fleet
 	stalledUntil    time.Duration           // receives no starts until then, because its runs made no progress
 	failures        straggler.FailureRecord // recent failures of runs on the worker
 }
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, speed: e.inheritedSpeed(w.ID), cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
