Evacuation of a failure domain

Cause: the record evacuate/ZONE of the operator was not read, so runs were started in an evacuated domain for as long as the evacuation lasted.

What callers saw: their runs were started on workers that the operator wanted empty.

With the setting bounds.evacuateMs, workers of an evacuated domain are not schedulable, and each start is checked again in the queue and directly before each attempt to send it. A new planner starts nothing before a read newer than 1 s, and no planner by a read older than the bound minus 1 s; it reads through other VMs while its own reads are late. Starts to workers that have announced since their placement that they leave are held back too.

Evidence: TestEvacuation (4 scripts) passes 20 times, and 10 times with the race detector on one processor; TestEvacuations passes with it too. Without the checks of the domain 2 of the 4 scripts fail, without those of the age 2. TestScripts and the tests of platform and cmd/sesameyoke pass.

Conclusion: a start that waits for a connection after its last check can still follow the evacuation by its timeout of 450 ms, within the margin of the bound.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -71,6 +71,7 @@
 	settings platform.Settings
 	log      *plog.Logger
 	metrics  *metrics.Set
+	evac     *platform.Evacuations // nil where domains are not evacuated
 	entry    *entry.Entry
 	elector  *lead.Elector
 	lag      timer.Lag
@@ -119,7 +120,10 @@
 	startTime := time.Now()
 	name := settings.Name + "/" + strconv.FormatInt(startTime.UnixNano(), 36) + lead.CompactMark + lead.GrantMark
 	waves := &platform.Waves{Log: l}
-	watcher := &entry.ConfigWatcher{Reader: platform.NewConfigReader(direct, waves), Wait: configPollWait, SinceBoot: sinceBoot, Log: l}
+	if settings.Evacuate > 0 {
+		v.evac = &platform.Evacuations{SinceBoot: sinceBoot, Log: l}
+	}
+	watcher := &entry.ConfigWatcher{Reader: platform.NewConfigReader(direct, waves, v.evac), Wait: configPollWait, SinceBoot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
 		Store: st, Name: name, Address: address,
 		LeaseTimeout: leaseTimeout, DeadHolderTimeout: deadHolderTimeout, RenewInterval: renewInterval, LeaseValidity: leaseValidity, CallTimeout: storeCallTimeout,
@@ -134,6 +138,9 @@
 			// Otherwise the idle connections of each term would stay open and fill the workers' limits.
 			t := rest.NewTransport()
 			defer t.CloseIdleConnections()
+			if v.evac != nil {
+				go v.evac.RunFallback(ctx, st, waves)
+			}
 			v.plan(ctx, v.engineConfig(t, st, lease, watcher, waves))
 		},
 	})
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -50,6 +50,9 @@
 		Discover: d.Changes, AllReadCompact: v.entry.AllReadCompact,
 		Advise: platform.NewPlacementAdvisor(v.settings.PlacementService, t),
 	}
+	if v.evac != nil {
+		c.Evacuated, c.EvacuatedAge, c.Timing.Evacuate = v.evac.Domains, v.evac.Age, v.settings.Evacuate
+	}
 	if v.settings.Cloud != "" {
 		c.Cloud = platform.NewCloud(v.settings.Cloud, t, st, w)
 	}
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -66,6 +66,7 @@
 		HostLease           time.Duration // a new planner sends no orders to hosts before this time has passed
 		HostDowntime        time.Duration // downtime of a host for maintenance
 		LateOrderWindow     time.Duration // how long an unanswered order may still be executed
+		Evacuate            time.Duration // no start may be sent to a domain this long after the operator has evacuated it
 	}
 
 	// Config holds the dependencies and parameters of an Engine.
@@ -96,6 +97,12 @@
 		Advise func(ctx context.Context, step work.Task, workers []string) (map[string]string, time.Duration, error)
 		// Cloud controls the workers' hosts. It is nil where no maintenance is requested.
 		Cloud *cloud.Client
+		// Evacuated returns the failure domains that the operator has evacuated; nil where domains
+		// are not evacuated. The map is not changed afterwards.
+		Evacuated func() map[string]bool
+		// EvacuatedAge returns the age of the newest read of the operator's records, which what
+		// Evacuated returns later includes.
+		EvacuatedAge func() time.Duration
 		// Discover returns the changes of the worker list since the previous call.
 		Discover func(ctx context.Context) (Listing, error)
 	}
@@ -153,6 +160,7 @@
 		deletingHandins   bool                     // a deletion of hand-in records is in flight
 		deletedHandins    int64                    // end of HandinTopic after the newest deletion of hand-in records
 		deletionRetryAt   time.Duration            // earliest time of the next deletion of hand-in records
+		evacuations       evacuations              // state of the evacuated domains
 		listedAt          time.Duration            // when the newest successful read of the worker list was requested
 
 		lastPass   time.Duration // duration of the newest pass
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -72,7 +72,7 @@
 	known := w.listed && w.reported && w.Host != ""
 	healthy := w.silentSince == 0 && now >= w.refusingUntil && now >= w.stalledUntil
 
-	return known && healthy && !w.Draining && !w.cordoned
+	return known && healthy && !w.Draining && !w.cordoned && !w.evacuated
 }
 
 // cpuDemand returns the CPU that the worker's runs would use, as a fraction of its CPU. It
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -31,6 +31,7 @@
 		return
 	}
 	began := e.Now()
+	e.applyEvacuations()
 	e.sendStarts()
 	e.dropEndedJobs()
 	e.moveRuns()
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -39,7 +39,7 @@
 
 // sendStarts sends queued starts up to the limit of starts in flight.
 func (e *Engine) sendStarts() {
-	if !e.Lease.Valid() || e.SinceBoot() > e.listedAt+maxListAge {
+	if !e.Lease.Valid() || e.SinceBoot() > e.listedAt+maxListAge || !e.evacuationsKnown() {
 		return // the next pass tries again
 	}
 	for m := e.starts.pop(); m != nil; m = e.starts.pop() {
@@ -50,6 +50,11 @@
 		case !m.worker.reported: // without this member, the rest of a gang would wait in vain
 			e.abort(m.unit, "worker restarted")
 			e.release(m)
+		case e.isEvacuated(m.worker):
+			e.abortInEvacuated(m)
+		case m.worker.Draining: // announced since the placement
+			e.abort(m.unit, "worker leaves")
+			e.release(m)
 		case m.worker.overcommitted(m.demand()):
 			e.abort(m.unit, "capacity has shrunk")
 		default:
@@ -69,13 +74,8 @@
 	}
 	to := w.recipient()
 	e.background.Go(func() {
-		if !e.Lease.Valid() {
-			e.handleStartAnswer(m, startAnswer{unsent: true, order: sentOrder{incarnation: to.incarnation}})
-
-			return
-		}
 		sent := e.SinceBoot()
-		a := e.startWithRetry(to.Address, order)
+		a := e.startWithRetry(m, to.Address, order)
 		a.order = sentOrder{at: sent, incarnation: to.incarnation, deadline: order.Deadline}
 		e.Observe("start_seconds", e.SinceBoot()-sent)
 		e.handleStartAnswer(m, a)
@@ -120,11 +120,15 @@
 
 // startWithRetry sends a start and retries it if this VM was probably too slow to
 // receive the answer. Retries are safe because starts are idempotent.
-func (e *Engine) startWithRetry(to target.Address, order target.Start) startAnswer {
+func (e *Engine) startWithRetry(m *member, to target.Address, order target.Start) startAnswer {
 	var a startAnswer
 	for range maxStartAttempts {
+		next := e.tryStart(m, to, order)
 		retried, sentBy := a.err != nil, a.sentBy
-		a = e.tryStart(to, order)
+		if next.unsent && retried {
+			break // the outcome is that of the attempts before
+		}
+		a = next
 		a.retried, a.sentBy = retried, max(sentBy, a.sentBy)
 		if !errors.Is(a.err, target.ErrUnknown) || !e.overloaded() || !e.Lease.Valid() {
 			break
@@ -135,12 +139,17 @@
 }
 
 // tryStart sends a start once. If the answer is late or lost, the start counts as executed
-// if the worker reports the run.
-func (e *Engine) tryStart(to target.Address, order target.Start) startAnswer {
+// if the worker reports the run. Whether it may be sent is checked just before.
+func (e *Engine) tryStart(m *member, to target.Address, order target.Start) startAnswer {
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
 	defer cancel()
 	answers := make(chan startAnswer, 1)
 	e.background.Go(func() {
+		if !e.mayStillStart(m) {
+			answers <- startAnswer{unsent: true}
+
+			return
+		}
 		ctx, sentBy := e.traceSending(ctx)
 		clock, err := e.Workers.Start(ctx, to, order)
 		answers <- startAnswer{clock: clock, err: err, sentBy: sentBy()}
--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -100,7 +100,7 @@
 
 // logFleet logs how many workers accept no runs, by reason.
 func (e *Engine) logFleet(now time.Duration) {
-	var unlisted, unreported, silent, refusing, stalled, draining int
+	var unlisted, unreported, silent, refusing, stalled, draining, evacuated int
 	for _, w := range e.workers {
 		switch {
 		case !w.listed || w.Host == "":
@@ -111,6 +111,8 @@
 			silent++
 		case w.Draining || w.cordoned:
 			draining++
+		case w.evacuated:
+			evacuated++
 		case now < w.refusingUntil:
 			refusing++
 		case now < w.stalledUntil:
@@ -118,7 +120,7 @@
 		}
 	}
 	e.Log.Info().Str("event", "fleet").Int("workers", len(e.workers)).Int("unlisted", unlisted).Int("unreported", unreported).Int("silent", silent).
-		Int("draining", draining).Int("refusing", refusing).Int("stalled", stalled).Int("barred", len(e.barred(now))).Int("claims", len(e.claims)).
+		Int("draining", draining).Int("evacuated", evacuated).Int("refusing", refusing).Int("stalled", stalled).Int("barred", len(e.barred(now))).Int("claims", len(e.claims)).
 		Int("units", len(e.units)).Int("starting", e.starts.inFlight).Msg("")
 }
 
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -51,6 +51,7 @@
 	refusingUntil     time.Duration           // receives no starts until then, because it refused one
 	cpuShare          cpushare.Limit          // CPU share of the best-effort tasks
 	noBestEffortUntil time.Duration           // receives no best-effort tasks until then
+	evacuated         bool                    // is in a domain that was evacuated in the newest pass
 	cordoned          bool                    // its host is about to go down for maintenance
 	staysUntil        time.Duration           // earliest time at which a draining worker leaves
 
