Sound jobs keep their attempts when workers fail every run

Cause: workers that fail every run within 30 ms are always free and attract the work for which others have no room. A worker was barred at its second failure only, failed tasks started again at once, and nothing kept a last attempt off such workers.

What callers saw: sound jobs were reported as failed within a second or two.

A worker is suspect at the first run that fails there at once, and proved when it has accepted a run that then lived for 1 s. Three suspects within 10 s are barred at once. Failed tasks wait 0.25 s and more before they start again, and start for the last time only on proved workers.

Evidence: the script failingworkers, in which workers begin to fail every run while the others are busy, fails on the code before and passes; go test of internal/run/engine, internal/core/straggler and internal/core/placement passes. The scripts of FailureRecord are unchanged; their reader passes when a run was accepted.

Conclusion: the evidence and the delays are in the planner's memory. A new planner learns the evidence within 3 s, for which last attempts wait.

--- a/internal/core/straggler/straggler_test.go
+++ b/internal/core/straggler/straggler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,11 +20,18 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		tracks := map[string]*straggler.Track{}
 		var record straggler.FailureRecord
+		records := map[string]*straggler.FailureRecord{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			name := d.CmdArgs[0].Key
 			switch d.Cmd {
 			case "ends":
 				return recordEnds(t, d, &record)
+			case "fleet":
+				return quarantine(t, d, records)
+			case "backoff":
+				return backoff(t, d)
+			case "lastattempt":
+				return lastAttempt(t, d)
 			case "run":
 				tracks[name] = readTrack(t, d.Input)
 
@@ -105,25 +114,87 @@
 }
 
 // recordEnds records ends of runs, one per line with its time, and prints the record after
-// each.
+// each. A line may tell how long the run had lived; without, it was accepted when it ended and
+// counts as one that lived long.
 func recordEnds(t *testing.T, d *datadriven.TestData, r *straggler.FailureRecord) string {
 	if d.CmdArgs[0].Key == "new" {
 		*r = straggler.FailureRecord{}
 	}
 	var lines []string
 	for line := range strings.SplitSeq(d.Input, "\n") {
-		f := strings.Fields(line)
-		now, err := time.ParseDuration(f[0])
-		require.NoError(t, err)
-		switch f[1] {
-		case "done":
-			r.Succeed()
-		case "failed", "elsewhere":
-			r.Fail(now, f[1] == "elsewhere")
-		case "later":
-		}
+		now := recordEnd(t, strings.Fields(line), r)
 		lines = append(lines, fmt.Sprintf("barred %v unreliable %v penalty %v", r.Barred(now), r.Unreliable(now), r.Penalty(now)))
+		if d.HasArg("proven") {
+			lines[len(lines)-1] += fmt.Sprintf(" proven %v", r.Proven())
+		}
 	}
 
 	return strings.Join(lines, "\n")
 }
+
+// recordEnd records the end of a run, given as its time, how it ended and how long it had lived.
+func recordEnd(t *testing.T, f []string, r *straggler.FailureRecord) time.Duration {
+	now, lived := parseDuration(t, f[0]), straggler.LivedLong
+	accepted := now
+	if len(f) > 2 {
+		lived = parseDuration(t, f[2])
+		accepted = now - lived
+	}
+	switch f[1] {
+	case "done":
+		r.Accepted(accepted)
+	case "failed", "elsewhere":
+		r.Fail(now, lived, f[1] == "elsewhere")
+	case "later":
+	}
+
+	return now
+}
+
+func parseDuration(t *testing.T, s string) time.Duration {
+	v, err := time.ParseDuration(s)
+	require.NoError(t, err)
+
+	return v
+}
+
+// quarantine records ends of runs, one per line with the number of the worker before its time, in
+// a fleet of the given size, and returns the numbers of the barred workers after each.
+func quarantine(t *testing.T, d *datadriven.TestData, records map[string]*straggler.FailureRecord) string {
+	size := 0
+	d.ScanArgs(t, "size", &size)
+	clear(records)
+	for i := range size {
+		records[fmt.Sprint(i)] = &straggler.FailureRecord{}
+	}
+	var lines []string
+	for line := range strings.SplitSeq(d.Input, "\n") {
+		f := strings.Fields(line)
+		now := recordEnd(t, f[1:], records[f[0]])
+		lines = append(lines, fmt.Sprint(slices.Sorted(maps.Keys(straggler.Quarantine(records, now)))))
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// backoff records failures of a task at the given times and returns the delay after each.
+func backoff(t *testing.T, d *datadriven.TestData) string {
+	var (
+		b     straggler.Backoff
+		lines []string
+	)
+	for at := range strings.FieldsSeq(d.Input) {
+		now := parseDuration(t, at)
+		b.Fail(now)
+		lines = append(lines, (b.Until() - now).String())
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+func lastAttempt(t *testing.T, d *datadriven.TestData) string {
+	return fmt.Sprint(straggler.LastAttempt{
+		Waited: durationArg(t, d, "waited", 0), Objective: durationArg(t, d, "objective", 0),
+		CouldHold: d.HasArg("proven"), Planning: durationArg(t, d, "planning", time.Hour),
+	}.OnlyProven())
+}
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sesameyoke/internal/core/policy"
+	"sesameyoke/internal/core/straggler"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/cloud"
 	"sesameyoke/internal/peer/store"
@@ -199,16 +200,17 @@
 		durable       bool       // the job's open record is in the store
 		handin        handinState
 		acceptedAt    time.Duration
-		dirty         bool                     // waits for the next append
-		dropped       bool                     // its records are deleted: it is not written any more
-		failedOn      map[string]int           // number of failed runs, by worker
-		crashes       work.Crashes             // crashes of workers under its tasks
-		crashesStored bool                     // they have a record
-		crashedAt     time.Duration            // when the newest of them was counted
-		oversize      bool                     // its progress was too large to be stored: only its end is
-		unsaved       bool                     // its checkpoints were too large to be stored
-		delayed       bool                     // occurrences that are due wait for others to end
-		doneRunTimes  map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
+		dirty         bool                           // waits for the next append
+		dropped       bool                           // its records are deleted: it is not written any more
+		failedOn      map[string]int                 // number of failed runs, by worker
+		backoffs      map[taskKey]*straggler.Backoff // delays of tasks that have failed
+		crashes       work.Crashes                   // crashes of workers under its tasks
+		crashesStored bool                           // they have a record
+		crashedAt     time.Duration                  // when the newest of them was counted
+		oversize      bool                           // its progress was too large to be stored: only its end is
+		unsaved       bool                           // its checkpoints were too large to be stored
+		delayed       bool                           // occurrences that are due wait for others to end
+		doneRunTimes  map[occurStep]runTimeSum       // run times of completed tasks outside gangs, by step
 	}
 )
 
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameyoke/internal/core/placement"
+	"sesameyoke/internal/core/straggler"
 )
 
 const (
@@ -17,9 +18,6 @@
 	// A serving task counts as 1/2 of its worker's CPU in addition to its need, which keeps
 	// best-effort tasks away.
 	servingCPUDivisor = 2
-	// Largest share of the workers that may be barred; if runs fail on more, the jobs are probably
-	// the cause.
-	maxBarredShare = 0.3
 )
 
 // fleetSnapshot holds the workers as input of a placement decision.
@@ -101,20 +99,14 @@
 	return c.unit
 }
 
-// barred returns the workers that receive no runs because runs on them keep failing. It
-// returns none if they exceed maxBarredShare.
+// barred returns the workers that receive no runs because runs on them keep failing.
 func (e *Engine) barred(now time.Duration) map[string]bool {
-	names := map[string]bool{}
+	records := make(map[string]*straggler.FailureRecord, len(e.workers))
 	for name, w := range e.workers {
-		if w.failures.Barred(now) {
-			names[name] = true
-		}
-	}
-	if float64(len(names)) > maxBarredShare*float64(len(e.workers)) {
-		return nil
+		records[name] = &w.failures
 	}
 
-	return names
+	return straggler.Quarantine(records, now)
 }
 
 // toPlacementRun returns a member's run as input of a placement decision. Its lost
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -134,7 +134,7 @@
 			tasks = append(tasks, i)
 		}
 	}
-	tasks = j.trustedFirst(occur, step, tasks)
+	tasks = e.placeable(j, occur, step, tasks)
 	if len(tasks) == 0 || (st.Gang && len(tasks) < st.Count) {
 		return cands
 	}
@@ -223,15 +223,17 @@
 	}
 	e.relaxConstraints(c, f)
 	e.keepApart(c, f)
+	if e.onLastAttempt(c) {
+		e.avoidUnproven(c, f)
+	}
 	e.assessOverdue(c, f)
 }
 
 // onLastAttempt reports whether one more failure of the unit fails its job.
 func (e *Engine) onLastAttempt(c *candidate) bool {
-	attempts := e.queuePolicy(c.job.Queue).Attempts
 	for _, t := range c.unit.Tasks {
-		if fails := c.job.Occurs[c.occur].Steps[c.step][t].Failures; fails > 0 && fails >= attempts-1 {
-			return attempts > 0
+		if e.isLastAttempt(c.job, c.occur, c.step, t) {
+			return true
 		}
 	}
 
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -233,17 +233,18 @@
 	d.MaybeScanArgs(t, "fails", &fails)
 	d.MaybeScanArgs(t, "index", &only)
 	var endless, long, failing string
-	longMs := 0
+	longMs, failMs := 0, 500
 	d.MaybeScanArgs(t, "lasts", &endless)
 	d.MaybeScanArgs(t, "long", &long)
 	d.MaybeScanArgs(t, "longms", &longMs)
 	d.MaybeScanArgs(t, "failing", &failing)
+	d.MaybeScanArgs(t, "failms", &failMs)
 	r.fleet.SetOutcome(func(task work.Task, run int64, worker string) (time.Duration, target.How) {
 		if long != "" && strings.HasPrefix(task.Job, long) {
 			return time.Duration(longMs) * time.Millisecond, target.Done
 		}
 		if failing != "" && strings.HasPrefix(worker, failing) {
-			return 500 * time.Millisecond, target.Failed
+			return time.Duration(failMs) * time.Millisecond, target.Failed
 		}
 		if task.Job == endless {
 			return fleet.Endless, target.Done
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -390,6 +390,7 @@
 	}
 	m.usage = r.Usage
 	if m.phase == running {
+		e.recordLiving(m)
 		e.recordProgress(m, r.Percent)
 	}
 }
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -171,6 +171,7 @@
 		return
 	}
 	u.failed = true
+	e.delayRetry(u)
 	for _, m := range u.members {
 		t := m.state()
 		if !u.isCurrent(t) {
@@ -277,7 +278,7 @@
 	e.Log.Info().Str("event", "run-ended").Str("id", u.job.ID).Str("unit", u.name).Int("task", m.index).
 		Int64("run", u.run).Str("how", string(how)).Str("worker", m.worker.ID).Dur("age", e.SinceBoot()-u.began).Msg("")
 	e.Count("ends_"+string(how), 1)
-	m.worker.recordOutcome(how, e.SinceBoot(), u.job.failedElsewhere(m.worker.ID))
+	e.recordOutcome(m, how)
 	switch how {
 	case target.Done:
 		e.recordSuccess(u)
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -59,7 +59,7 @@
 	currentSlowdown float64                 // additional temporary factor, until slowUntil
 	slowUntil       time.Duration           // counts as slow until then
 	stalledUntil    time.Duration           // receives no starts until then, because its runs made no progress
-	failures        straggler.FailureRecord // recent failures of runs on the worker
+	failures        straggler.FailureRecord // whether runs on the worker prove sound
 }
 
 // newWorker returns a worker that has not reported yet.
@@ -128,17 +128,6 @@
 	return ms
 }
 
-// recordOutcome adds the end of a run to the worker's record of failures. The argument
-// elsewhere tells whether runs of the job have failed on other workers.
-func (w *worker) recordOutcome(how target.How, boot time.Duration, elsewhere bool) {
-	switch how {
-	case target.Done:
-		w.failures.Succeed()
-	case target.Failed:
-		w.failures.Fail(boot, elsewhere)
-	}
-}
-
 // resetIncarnation discards the state of the previous incarnation.
 func (w *worker) resetIncarnation(incarnation int64, now time.Duration) {
 	w.Incarnation = incarnation
