Starts without an answer are sent again

Cause: a start that got no answer was given up, unless this VM itself was overloaded, and one such start aborts its whole gang. While 5 % of the orders to workers stay unanswered, half of the gangs of 10 fail this way.

What callers saw: their gangs started again elsewhere 1 to 3 s later.

If the worker answers a query for its runs and neither its runs nor its ends name the run, the same order is sent again, at most twice and within 1 s, after the checks of any start. If one of several attempts is refused, the start counts as unanswered: another attempt may still be executed, and only a stop rules that out.

--- a/internal/run/engine/evacuation_test.go
+++ b/internal/run/engine/evacuation_test.go
@@ -31,17 +31,23 @@
 func TestEvacuation(t *testing.T) {
 	datadriven.Walk(t, "testdata/evacuation", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
-			r := &evacuationRig{rig: newRig(t, 1)}
+			r := newEvacuationRig(t)
 			defer r.stop()
-			r.domains.Store(&map[string]bool{})
-			r.read.Store(true)
-			r.mutation = mutation{"evacuations", r.configure}
 			datadriven.RunTest(t, path, r.runCommand)
 			require.Empty(t, r.fleet.Violations())
 		})
 	})
 }
 
+func newEvacuationRig(t *testing.T) *evacuationRig {
+	r := &evacuationRig{rig: newRig(t, 1)}
+	r.domains.Store(&map[string]bool{})
+	r.read.Store(true)
+	r.mutation = mutation{"evacuations", r.configure}
+
+	return r
+}
+
 // configure makes an engine know the evacuated domains.
 func (r *evacuationRig) configure(c *engine.Config) {
 	discover := c.Discover
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,7 +74,7 @@
 	to := w.recipient()
 	e.background.Go(func() {
 		sent := e.SinceBoot()
-		a := e.startWithRetry(m, to.Address, order)
+		a := e.startWithRetry(m, to, order)
 		a.order = sentOrder{at: sent, incarnation: to.incarnation, deadline: order.Deadline}
 		e.Observe("start_seconds", e.SinceBoot()-sent)
 		e.handleStartAnswer(m, a)
@@ -120,16 +119,20 @@
 
 // startWithRetry sends a start and retries it if this VM was probably too slow to
 // receive the answer. Retries are safe because starts are idempotent.
-func (e *Engine) startWithRetry(m *member, to target.Address, order target.Start) startAnswer {
+func (e *Engine) startWithRetry(m *member, to recipient, order target.Start) startAnswer {
 	var a startAnswer
-	for range maxStartAttempts {
-		next := e.tryStart(m, to, order)
+	for i := range maxStartAttempts {
+		resends := maxResends
+		if i > 0 {
+			resends = 0
+		}
+		next := e.tryStart(m, to, order, resends)
 		retried, sentBy := a.err != nil, a.sentBy
 		if next.unsent && retried {
 			break // the outcome is that of the attempts before
 		}
 		a = next
-		a.retried, a.sentBy = retried, max(sentBy, a.sentBy)
+		a.retried, a.sentBy = a.retried || retried, max(sentBy, a.sentBy)
 		if !errors.Is(a.err, target.ErrUnknown) || !e.overloaded() || !e.Lease.Valid() {
 			break
 		}
@@ -138,66 +141,12 @@
 	return a
 }
 
-// tryStart sends a start once. If the answer is late or lost, the start counts as executed
-// if the worker reports the run. Whether it may be sent is checked just before.
-func (e *Engine) tryStart(m *member, to target.Address, order target.Start) startAnswer {
-	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
-	defer cancel()
-	answers := make(chan startAnswer, 1)
-	e.background.Go(func() {
-		if !e.mayStillStart(m) {
-			answers <- startAnswer{unsent: true}
-
-			return
-		}
-		ctx, sentBy := e.traceSending(ctx)
-		clock, err := e.Workers.Start(ctx, to, order)
-		answers <- startAnswer{clock: clock, err: err, sentBy: sentBy()}
-	})
-	probe := time.NewTimer(e.Timing.StartTimeout / probeDivisor)
-	defer probe.Stop()
-	var a startAnswer
-	select {
-	case a = <-answers:
-	case <-probe.C:
-		if clock, ok := e.queryRun(to, order); ok {
-			return startAnswer{clock: clock}
-		}
-		a = <-answers
-	}
-	if errors.Is(a.err, target.ErrUnknown) {
-		if clock, ok := e.queryRun(to, order); ok {
-			return startAnswer{clock: clock}
-		}
-	}
-
-	return a
-}
-
 // overloaded reports whether this VM has recently been so slow that an unanswered call
 // is no evidence against the worker.
 func (e *Engine) overloaded() bool {
 	return e.SchedulingDelay != nil && e.SchedulingDelay() >= overloadThreshold
 }
 
-// queryRun asks a worker whether it runs what the order starts. It returns the worker's
-// clock if so.
-func (e *Engine) queryRun(to target.Address, order target.Start) (int64, bool) {
-	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
-	defer cancel()
-	r, err := e.Workers.RenewLease(ctx, to, target.LeaseRenewal{Token: order.Token})
-	if err != nil {
-		return 0, false // the next report or the answer to a stop will show it
-	}
-	for _, run := range r.Running {
-		if run.Task == order.Task && run.Run == order.Run {
-			return r.Clock, true
-		}
-	}
-
-	return 0, false
-}
-
 // applyStartAnswer applies the answer to a start, or its error, to the member. A failed
 // start aborts the whole unit.
 func (e *Engine) applyStartAnswer(m *member, a startAnswer) {
