No decision reads the dropped states of an ended occurrence

Cause: acceptLateSuccess looked up the unit of a task by its name, but not the speculative copy of it. It ended the occurrence of a recurring job and dropped the states of its tasks, while the copy went on. Whatever read the copy's state next, such as the expiry of its worker's lease, indexed a list that was gone.

Seen by callers: the planner's process ended with a panic.

Now the copy is stopped together with the run that replaced the first one, and a member whose state has been dropped counts as done, whoever asks for it.

Evidence: TestScripts/latecopy panicked before.

--- a/internal/run/engine/copies.go
+++ b/internal/run/engine/copies.go
@@ -52,11 +52,11 @@
 	return length > 0 && float64(r.Remaining()) > minCopyGain*float64(r.RemainingIfMoved())
 }
 
-// mayFailTwice reports whether a task has attempts left for two more failures.
+// mayFailTwice reports whether an unfinished task has attempts left for two more failures.
 func (e *Engine) mayFailTwice(m *member) bool {
-	q := e.queuePolicy(m.unit.job.Queue)
+	q, t := e.queuePolicy(m.unit.job.Queue), m.state()
 
-	return m.state().Failures == 0 && (q.Attempts == 0 || q.Attempts >= minCopyAttempts)
+	return t.Phase == work.Assigned && t.Failures == 0 && (q.Attempts == 0 || q.Attempts >= minCopyAttempts)
 }
 
 // startCopy starts a second run of the unit's task on the given worker.
--- a/internal/run/engine/late.go
+++ b/internal/run/engine/late.go
@@ -57,13 +57,15 @@
 }
 
 // acceptLateSuccess marks a task as done by a run whose lease had been recorded as
-// expired, and stops the run that replaced it.
+// expired, and stops the run that replaced it, or its copy.
 func (e *Engine) acceptLateSuccess(j *job, end target.End) {
 	o := &j.Occurs[end.Task.Occur]
 	name := unitName(j, end.Task.Occur, end.Task.Step, end.Task.Index)
-	if u := e.units[name]; u != nil {
-		e.abort(u, "an earlier run succeeded")
-		u.done = true
+	for _, u := range []*unit{e.units[name], e.units[name+copySuffix]} {
+		if u != nil {
+			e.abort(u, "an earlier run succeeded")
+			u.done = true
+		}
 	}
 	for i := range o.Steps[end.Task.Step] {
 		if t := &o.Steps[end.Task.Step][i]; i == end.Task.Index || j.Steps[end.Task.Step].Gang {
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -82,9 +82,16 @@
 	return work.Task{Job: m.unit.job.ID, Occur: m.unit.occur, Step: m.unit.step, Index: m.index}
 }
 
-// state returns the recorded state of the member's task.
+// state returns the recorded state of the member's task. The states of an ended occurrence of a
+// recurring job are dropped while runs of its tasks may still hold capacity: those tasks count as
+// done, and changes of the returned state have no effect.
 func (m *member) state() *work.TaskState {
-	return &m.unit.job.Occurs[m.unit.occur].Steps[m.unit.step][m.index]
+	steps := m.unit.job.Occurs[m.unit.occur].Steps
+	if m.unit.step >= len(steps) {
+		return &work.TaskState{Phase: work.Done}
+	}
+
+	return &steps[m.unit.step][m.index]
 }
 
 // demand returns the capacity that the member reserves on its worker.
