Guaranteed jobs reclaim accelerators from long-running tasks

Cause: runs of long-running steps were not among the runs that a decision may evict. They do not end by themselves either, so a guarantee was void once they held all accelerators.

Seen by callers: a job of priority 0 within its workspace's guarantee was accepted and never began.

Now units that a guarantee covers may evict long-running tasks of lower priorities, or borrowed ones: no more of a step at a time than may be unavailable, counted as for maintenance, and only where runs that end by themselves do not suffice at a lower cost. Other units evict none of them.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -91,12 +91,13 @@
 		best       = -1
 		bestCost   float64
 		bestGroups map[string]bool
+		stopped    = countStops(workers, selected)
 	)
 	for _, i := range candidates {
 		if !allowed(&workers[i], i, u, a) {
 			continue
 		}
-		groups, cost, ok := groupsToEvict(&workers[i], u, a.perWorker[i], selected)
+		groups, cost, ok := groupsToEvict(&workers[i], u, a.perWorker[i], selected, stopped)
 		if !ok {
 			continue
 		}
@@ -111,8 +112,9 @@
 
 // groupsToEvict returns the groups to stop on a worker so that one more task fits beside
 // the given number of tasks of the unit, the work that is lost, and whether it then fits.
-// The capacity of ending runs and of the selected groups counts as free.
-func groupsToEvict(w *Worker, u *Unit, tasks int, selected map[string]bool) (map[string]bool, float64, bool) {
+// The capacity of ending runs and of the selected groups, which stop the given numbers of
+// long-running tasks, counts as free.
+func groupsToEvict(w *Worker, u *Unit, tasks int, selected map[string]bool, stopped stops) (map[string]bool, float64, bool) {
 	need := scale(u.Need, tasks+1)
 	free := w.Free
 	var evictable []Run
@@ -124,6 +126,12 @@
 			evictable = append(evictable, run)
 		}
 	}
+	for _, run := range w.Lasting {
+		if selected[run.Group] {
+			free = free.Plus(run.Need)
+		}
+	}
+	evictable = append(evictable, w.evictableLasting(u, selected, stopped)...)
 	slices.SortFunc(evictable, func(a, b Run) int { return cmp.Compare(a.evictionCost(), b.evictionCost()) })
 	groups, lost := map[string]bool{}, 0.0
 	for _, run := range evictable {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -39,6 +39,7 @@
 		CPUDemand    float64 // CPU demand of its runs as a share of its CPU capacity; may exceed 1
 		SpareBelow   int     // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
+		Lasting      []LastingRun // runs of long-running tasks, which only guaranteed units may evict
 
 		reserved *reservation // made in this decision
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [lasting=RUN] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -61,6 +61,11 @@
 
 				continue
 			}
+			if spec, ok := strings.CutPrefix(r, "lasting="); ok {
+				w.Lasting = append(w.Lasting, readLasting(t, spec))
+
+				continue
+			}
 			var run placement.Run
 			p := strings.Split(r, ":")
 			run.Group = p[0]
@@ -79,6 +84,18 @@
 	return ws
 }
 
+// readLasting parses the run of a long-running task: GROUP:PRIORITY:ACCELERATORS:STEP:MAYSTOP.
+func readLasting(t *testing.T, spec string) placement.LastingRun {
+	p := strings.Split(spec, ":")
+	r := placement.LastingRun{Run: placement.Run{Group: p[0], LostWork: placement.LastingCost}, Step: p[3], Tasks: 1}
+	var accel int
+	_, err := fmt.Sscan(p[1]+" "+p[2]+" "+p[4], &r.Priority, &accel, &r.MayStop)
+	require.NoError(t, err)
+	r.Need = shape(accel)
+
+	return r
+}
+
 func seconds(t *testing.T, s string) time.Duration {
 	d, err := time.ParseDuration(s + "s")
 	require.NoError(t, err)
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -41,6 +41,7 @@
 	now := e.SinceBoot()
 	barred := e.barred(now)
 	guaranteed := e.guaranteedJobs()
+	mayStop := e.stoppableTasks(guaranteed)
 	for i, name := range f.names {
 		f.index[name] = i
 		pw := e.workers[name].toPlacementWorker(now)
@@ -49,6 +50,8 @@
 		for _, m := range e.workers[name].members() {
 			if !m.unit.job.Steps[m.unit.step].LongRunning || m.unit.aborted {
 				pw.Runs = append(pw.Runs, e.toPlacementRun(m, guaranteed[m.unit.job], now))
+			} else if n := mayStop[m.unit.stepKey()]; n > 0 {
+				pw.Lasting = append(pw.Lasting, e.toLastingRun(m, guaranteed[m.unit.job], n))
 			}
 		}
 		f.workers = append(f.workers, pw)
--- a/internal/run/engine/maintenance.go
+++ b/internal/run/engine/maintenance.go
@@ -257,9 +257,7 @@
 			continue
 		}
 		o := e.units[unitName(u.job, u.occur, u.step, i)]
-		if o == nil || o.aborted || !slices.ContainsFunc(o.members, func(x *member) bool {
-			return x.index == i && x.phase == running && x.track.Percent() >= readyPercent && x.worker.silentSince == 0
-		}) {
+		if o == nil || o.aborted || !slices.ContainsFunc(o.members, func(x *member) bool { return x.index == i && x.isReady() }) {
 			unavailable++
 		}
 	}
@@ -267,6 +265,11 @@
 	return unavailable < max(1, st.MaxUnavailable)
 }
 
+// isReady reports whether a long-running task is available.
+func (m *member) isReady() bool {
+	return m.phase == running && m.track.Percent() >= readyPercent && m.worker.silentSince == 0
+}
+
 // cordonWorkers excludes the workers whose hosts are about to go down from new placements.
 func (e *Engine) cordonWorkers(hosts map[string]cloud.Host) {
 	cordoned := map[string]bool{}
