Long-running tasks start again after failures; a refused job is not begun

Cause, first: a preference without a bound. A job avoids the workers on which its runs have failed, as long as the others could hold its tasks if they were empty. The way out, that a unit is overdue, left out all steps of a job of which anything runs. A long-running job collects such workers until it is cancelled. Now each long-running step counts as waiting by itself, and avoids workers for 3 s at most, however much of the capacity is in use.

Cause, second: a job counted as begun from its placement on, before a start was sent, and nothing took that back. Now it has begun once a worker has accepted a start of it, or may have (no answer). When all its starts were refused, its record says so again, for the next planner.

Seen by callers: a long-running task that had failed on two workers was not started again, beside two empty workers. The number of pending jobs left out a job that had not begun, and its state was running.

--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -195,6 +195,7 @@
 		dropped       bool                     // its records are deleted: it is not written any more
 		failedOn      map[string]int           // number of failed runs, by worker
 		crashes       work.Crashes             // crashes of workers under its tasks
+		begun         bool                     // a worker has accepted a start of it, or may have
 		crashesStored bool                     // they have a record
 		crashedAt     time.Duration            // when the newest of them was counted
 		oversize      bool                     // its progress was too large to be stored: only its end is
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// State returns a job's durable phase, or Running for a queued job that has started.
+// State returns a job's durable phase if that is final, else Running if the job has begun.
 func (e *Engine) State(id, workspace string) (work.Phase, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -205,14 +205,17 @@
 	if j == nil || j.Workspace != workspace {
 		return 0, ErrUnknownJob
 	}
-	if j.durablePhase == work.Queued && (j.Started || e.held[id]) {
+	switch {
+	case j.durablePhase.Final():
+		return j.durablePhase, nil
+	case j.begun || e.held[id]:
 		return work.Running, nil
 	}
 
-	return j.durablePhase, nil
+	return work.Queued, nil
 }
 
-// Pending returns the number of accepted jobs by queue that have not started. It
+// Pending returns the number of accepted jobs by queue that have not begun. It
 // returns false if this planner may not know all of them.
 func (e *Engine) Pending() (map[string]int32, bool) {
 	e.mu.Lock()
@@ -222,7 +225,7 @@
 	}
 	n := map[string]int32{}
 	for _, j := range e.active {
-		if !j.Started && !j.Phase.Final() && j.durable && !e.held[j.ID] {
+		if !j.begun && !j.Phase.Final() && j.durable && !e.held[j.ID] {
 			n[j.Queue]++
 		}
 	}
--- a/internal/run/engine/late.go
+++ b/internal/run/engine/late.go
@@ -11,6 +11,7 @@
 	if m.unit.orphan {
 		return
 	}
+	m.unit.job.begun = true
 	e.unansweredStarts[m.worker.ID] = append(e.unansweredStarts[m.worker.ID], unansweredStart{
 		run: target.Run{Task: m.task(), Run: m.unit.run}, until: e.SinceBoot() + e.Timing.LateOrderWindow,
 	})
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -268,15 +268,16 @@
 }
 
 // relaxConstraints drops the constraints of a unit that even an empty fleet could not
-// satisfy, and its restriction to the rack of its data once it has waited longer than its
-// estimated run time.
+// satisfy, its restriction to the rack of its data once it has waited longer than its
+// estimated run time, and for a long-running task the workers that it avoids once it has waited
+// for maxAvoidance.
 func (e *Engine) relaxConstraints(c *candidate, f *fleetSnapshot) {
 	waited := e.SinceBoot() - c.job.acceptedAt
 	est := time.Duration(c.job.Steps[c.step].Estimate) * time.Millisecond
 	if c.unit.DataRackOnly && (waited > est || !fitsWhenEmpty(f, c.unit.DataRack, &c.unit)) {
 		c.unit.DataRackOnly = false
 	}
-	if len(c.unit.Avoid) > 0 && f.avoidsTooMuch(&c.unit) {
+	if len(c.unit.Avoid) > 0 && (e.hasAvoidedLong(c) || f.avoidsTooMuch(&c.unit)) {
 		c.unit.Avoid = nil
 	}
 	if c.unit.SameRack && !f.couldHold(&c.unit) {
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -221,7 +221,7 @@
 
 		return
 	}
-	j.Progress, j.durablePhase = p, p.Phase
+	j.Progress, j.durablePhase, j.begun = p, p.Phase, p.Started
 }
 
 // applyOpen adds a job from its open record. A known job stays as it is, because records
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -115,6 +115,11 @@
 		return r.pending()
 	case "ticketed":
 		r.fleet.Ticketed = map[string]bool{}
+		if name == "off" {
+			r.fleet.Ticketed = nil
+
+			return ""
+		}
 		for _, a := range d.CmdArgs {
 			r.fleet.Ticketed[a.Key] = true
 		}
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -198,6 +198,7 @@
 	}
 	e.readClock(w, a.clock, a.order)
 	if err == nil {
+		u.job.begun = true
 		m.phase, m.answeredAt, m.began = running, e.SinceBoot(), e.SinceBoot()
 		e.startTrack(m, a.clock)
 		m.confirmedShare = cpushare.Full
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -153,10 +153,25 @@
 		t.Phase = work.Waiting
 		t.Saved = checkpoint
 	}
+	e.resetUnbegun(j)
 	e.writer.put(j, nil)
 	e.requestPass()
 }
 
+// resetUnbegun returns a job to the queue if all its starts have been refused. Its record says that
+// it has started from its first placement on, because a later planner cannot tell.
+func (e *Engine) resetUnbegun(j *job) {
+	if j.begun || !j.Started || j.Phase.Final() {
+		return
+	}
+	for _, u := range e.units {
+		if u.job == j {
+			return
+		}
+	}
+	j.Started, j.Phase = false, work.Queued
+}
+
 // newestCheckpoint returns the newest checkpoint that a member has written, or else the
 // one that the unit started from.
 func (u *unit) newestCheckpoint() string {
--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -12,11 +12,16 @@
 	waitLogInterval = 2 * time.Second
 	// Largest number of such lines in one pass.
 	maxWaitLines = 2
+	// Longest wait of a long-running task for other workers than those on which runs of its job have
+	// failed. Callers expect it to run again within 6 s of its last run, however much of the capacity
+	// is in use. Its job collects such workers until it is cancelled.
+	maxAvoidance = 3 * time.Second
 	// Interval between assessments of whether an idle step is overdue.
 	overdueInterval = 250 * time.Millisecond
 )
 
-// idleStep is a step that waits for placement while its job has no runs.
+// idleStep is a step that waits for placement while its job has no runs, or a long-running step with
+// tasks that wait.
 type idleStep struct {
 	since      time.Duration
 	loggedAt   time.Duration
@@ -24,7 +29,8 @@
 	assessedAt time.Duration // when it was last assessed whether it is overdue
 }
 
-// noteIdle records since when the candidates' steps wait while their jobs have no runs.
+// noteIdle records since when the candidates' steps wait while their jobs have no runs. Each
+// long-running task is to run whether others of its job do or not.
 func (e *Engine) noteIdle(cands []candidate) {
 	busy := map[*job]bool{}
 	for _, u := range e.units {
@@ -33,7 +39,7 @@
 	idle := make(map[stepKey]*idleStep, len(e.idle))
 	for i := range cands {
 		c := &cands[i]
-		if busy[c.job] {
+		if busy[c.job] && !c.job.Steps[c.step].LongRunning {
 			continue
 		}
 		key := c.stepKey()
@@ -44,6 +50,13 @@
 	e.idle = idle
 }
 
+// hasAvoidedLong reports whether tasks of a long-running step have waited for maxAvoidance.
+func (e *Engine) hasAvoidedLong(c *candidate) bool {
+	s := e.idle[c.stepKey()]
+
+	return s != nil && c.job.Steps[c.step].LongRunning && e.SinceBoot()-s.since >= maxAvoidance
+}
+
 // assessOverdue determines whether a candidate has waited too long for what it prefers. It
 // expects the candidate's other constraints.
 func (e *Engine) assessOverdue(c *candidate, f *fleetSnapshot) {
