The lease record tells since when all holders have recorded their grants

Cause: a planner uses what an earlier one recorded about silent workers only if it has seen every holder in between and each had the mark. A VM that has just started has seen only the newest holder, so it counted the leases of all workers that are gone from its own takeover on.

Seen by callers: tasks of workers that had left waited for up to 11.6 s more.

Now each holder writes into its record since which token all holders have had the mark: the token of the record before it, or the one that this record names. The field stands at the end of the record. It is written only while the names of all known VMs have the mark lead.HolderMark, because earlier versions cannot read a record with more fields. Records without it are read as before.

TestMarkedSince, TestHolderRecord.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -117,7 +117,7 @@
 	})
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.Ports[0]))
 	startTime := time.Now()
-	name := settings.Name + "/" + strconv.FormatInt(startTime.UnixNano(), 36) + lead.CompactMark + lead.GrantMark
+	name := settings.Name + "/" + strconv.FormatInt(startTime.UnixNano(), 36) + lead.HolderMark + lead.CompactMark + lead.GrantMark
 	waves := &platform.Waves{Log: l}
 	watcher := &entry.ConfigWatcher{Reader: platform.NewConfigReader(direct, waves), Wait: configPollWait, SinceBoot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
@@ -127,8 +127,9 @@
 		Strength:      func() lead.Strength { return v.entry.Strength() },
 		TakeoverDelay: min(maxTakeoverDelay, time.Duration(float64(singleCoreTakeoverDelay)/max(settings.Cores, minCores))),
 		SinceBoot:     sinceBoot, Log: l,
-		Heartbeat: func(ctx context.Context, h lead.Holder) (lead.LeaseStatus, error) { return v.entry.Heartbeat(ctx, h) },
-		Successor: func() (string, bool) { return v.entry.Successor() }, Stronger: func() (string, bool) { return v.entry.Stronger() },
+		Heartbeat:     func(ctx context.Context, h lead.Holder) (lead.LeaseStatus, error) { return v.entry.Heartbeat(ctx, h) },
+		AllReadFields: func() bool { return v.entry.AllReadLease() },
+		Successor:     func() (string, bool) { return v.entry.Successor() }, Stronger: func() (string, bool) { return v.entry.Stronger() },
 		Offer: peers.OfferLease,
 		Plan: func(ctx context.Context, lease *lead.Lease) {
 			// Otherwise the idle connections of each term would stay open and fill the workers' limits.
--- a/internal/run/engine/goneworker_test.go
+++ b/internal/run/engine/goneworker_test.go
@@ -120,3 +120,42 @@
 
 	return time.Since(last)
 }
+
+// TestReturnedVM takes a worker with a run away, and then loses the planner and two successors,
+// which grant nothing. A VM that has just started and has seen but the last of them plans next. It guards
+// against a VM that ignores what the first planner recorded about the worker, because it cannot tell that
+// all of them were of a version that records its grants: the run must go on within takeoverInterval
+// and a second for the further takeovers.
+func TestReturnedVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		defer r.stop()
+		r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return time.Minute, target.Done }
+		for i := range 2 {
+			r.fleet.Add(fmt.Sprintf("k%d", i), "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
+		}
+		for _, n := range []string{"a", "b"} {
+			r.start(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		r.submit(work.Job{ID: "j1", Queue: "batch", Workspace: "w", Spec: "x", Steps: []work.Step{{Count: 1, Need: work.Shape{Accelerators: 8}, Estimate: 2000}}})
+		time.Sleep(time.Second)
+		r.fleet.Kill("k0")
+		r.fleet.Unlist("k0")
+		gone := time.Now()
+		time.Sleep(3 * time.Second)
+		r.kill("a")
+		for _, n := range [][2]string{{"b", "d"}, {"d", "c"}} {
+			for r.get(n[0]).elector.Lease() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			r.kill(n[0]) // in its recovery
+			r.start(n[1])
+		}
+		time.Sleep(time.Until(gone.Add(takeoverInterval + time.Second)))
+		require.Equal(t, int64(4), r.get("c").elector.Lease().Token)
+		active, _ := r.activeRuns()
+		require.True(t, active["j1"])
+	})
+}
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -221,12 +221,20 @@
 
 // AllReadCompact reports whether all VMs that this one knows of have told that they read compact progress
 // records. A VM whose heartbeat has not arrived yet may be one of a version that doesn't.
-func (e *Entry) AllReadCompact() bool {
+func (e *Entry) AllReadCompact() bool { return e.allHave(lead.CompactMark + lead.GrantMark) }
+
+// AllReadLease reports the same for lease records with fields after lead.Holder.Released.
+func (e *Entry) AllReadLease() bool {
+	return e.allHave(lead.HolderMark + lead.CompactMark + lead.GrantMark)
+}
+
+// allHave reports whether the names of all other VMs that this one knows of end with the given marks.
+func (e *Entry) allHave(marks string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.SinceBoot()
 	for a, v := range e.peers {
-		if a != e.Address && now-v.lastSeen <= peerTTL && !strings.HasSuffix(v.Name, lead.CompactMark+lead.GrantMark) {
+		if a != e.Address && now-v.lastSeen <= peerTTL && !strings.HasSuffix(v.Name, marks) {
 			return false
 		}
 	}
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
@@ -37,6 +36,10 @@
 	// CompactMark precedes GrantMark in the name of a VM that reads compact progress records.
 	CompactMark = "/c"
 
+	// HolderMark precedes CompactMark in the name of a VM that reads lease records with fields after
+	// Holder.Released.
+	HolderMark = "/h"
+
 	renewRetryInterval = 100 * time.Millisecond // a renewal that gets no answer is resent at this interval
 	renewAttempts      = 6                      // maximum number of copies sent of one renewal
 )
@@ -57,6 +60,8 @@
 		Token    int64    // fencing token
 		Renewal  int64    // number of renewals under this token
 		Released bool     // the holder has given up the lease
+
+		MarkedSince int64 // the names of all holders from this token on have had GrantMark; 0 if that is not known
 	}
 
 	// LeaseStatus is the planner's answer to a heartbeat: the state of its lease.
@@ -87,6 +92,8 @@
 
 		// Heartbeat sends a heartbeat to the holder's VM and returns the state of its lease.
 		Heartbeat func(ctx context.Context, h Holder) (LeaseStatus, error)
+		// AllReadFields reports whether all VMs that this one knows of have HolderMark; nil if they do.
+		AllReadFields func() bool
 		// Strength ranks this VM against those eligible to plan; nil means Unknown.
 		Strength func() Strength
 		// Successor returns the preferred successor of this VM as planner.
@@ -286,8 +293,8 @@
 		if r.Key != key {
 			continue
 		}
-		var h Holder
-		if err := cbor.Unmarshal(r.Value, &h); err != nil {
+		h, err := decodeHolder(r.Value)
+		if err != nil {
 			e.Log.Warn().Str("event", "lease-record-unreadable").Err(err).Int64("offset", r.Offset).Msg("")
 			e.unreadable = true
 
@@ -349,11 +356,12 @@
 	h, end := e.holder, e.end
 	mine := h.Name == e.Name && !h.Released && !e.unreadable
 	leaving, token := e.leaving, e.nextToken()
+	since := e.markedSince(token)
 	e.mu.Unlock()
 	if leaving || (!mine && !e.free()) {
 		return nil
 	}
-	next := Holder{Name: e.Name, Address: e.Address, Token: token}
+	next := Holder{Name: e.Name, Address: e.Address, Token: token, MarkedSince: since}
 	sent := e.SinceBoot()
 	newEnd, err := e.append(ctx, next, end, 1)
 	if err != nil {
@@ -387,17 +395,31 @@
 
 // recordSighting records that a holder's token has been issued. The caller holds mu.
 func (e *Elector) recordSighting(h Holder) {
-	if n := len(e.sightings); n == 0 || h.Token > e.sightings[n-1].token {
-		e.sightings = append(e.sightings, sighting{h.Token, e.SinceBoot(), strings.HasSuffix(h.Name, GrantMark)})
+	n := len(e.sightings)
+	switch {
+	case n > 0 && h.Token == e.sightings[n-1].token: // a renewal may tell more than the first record
+		e.sightings[n-1].since = max(e.sightings[n-1].since, h.MarkedSince)
+	case n == 0 || h.Token > e.sightings[n-1].token:
+		e.sightings = append(e.sightings, sighting{h.Token, e.SinceBoot(), strings.HasSuffix(h.Name, GrantMark), h.MarkedSince})
+	}
+}
+
+// markedSince returns the token since which all holders have had GrantMark, if this VM gets the given
+// token. The caller holds mu.
+func (e *Elector) markedSince(token int64) int64 {
+	if !strings.HasSuffix(e.Name, GrantMark) {
+		return 0
 	}
+
+	return oldestMarked(e.sightings, token)
 }
 
 // append writes the lease record on condition that the topic still ends at offset at. It
 // sends up to tries copies while no answer arrives.
 func (e *Elector) append(ctx context.Context, h Holder, at int64, tries int) (int64, error) {
-	b, err := cbor.Marshal(h)
+	b, err := encodeHolder(h, e.AllReadFields == nil || e.AllReadFields())
 	if err != nil {
-		return 0, errors.Wrap(err, "encode lease")
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.CallTimeout)
 	defer cancel()
--- a/internal/run/lead/lease.go
+++ b/internal/run/lead/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,7 @@
 		token  int64
 		at     time.Duration // boot time
 		marked bool          // the holder's name has GrantMark
+		since  int64         // Holder.MarkedSince of its record
 	}
 
 	// Lease is the planner's lease while this VM holds it.
@@ -53,17 +55,27 @@
 	return l.supersededAt(token) + validity
 }
 
-// AllMarked reports whether this VM has seen every holder between the given token and this
-// lease, and the names of all of them have GrantMark.
-func (l *Lease) AllMarked(after int64) bool {
-	marked := int64(0)
-	for _, s := range l.sightings {
-		if s.token > after && s.token < l.Token && s.marked {
-			marked++
+// AllMarked reports whether the names of all holders between the given token and this lease have
+// GrantMark, as far as this VM has seen them or their records tell.
+func (l *Lease) AllMarked(after int64) bool { return oldestMarked(l.sightings, l.Token) <= after+1 }
+
+// oldestMarked returns the lowest token of which it is known that its holder and all later ones before
+// the given token have GrantMark; the given token if the one before is not known to.
+func oldestMarked(sightings []sighting, token int64) int64 {
+	for _, s := range slices.Backward(sightings) {
+		switch {
+		case s.token >= token:
+		case s.token < token-1 || !s.marked:
+			return token
+		default:
+			token = s.token
+			if s.since > 0 {
+				token = min(token, s.since)
+			}
 		}
 	}
 
-	return marked == l.Token-1-after
+	return token
 }
 
 // supersededAt returns the earliest boot time at which this VM knew that a later token than
--- a/internal/run/lead/transfer_test.go
+++ b/internal/run/lead/transfer_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -102,3 +103,50 @@
 	require.False(t, l.AllMarked(1))
 	require.False(t, l.AllMarked(0))
 }
+
+// TestMarkedSince guards against a VM that is back and has not seen the holders before it: it took one
+// of them for a planner of an earlier version, and waited for leases that none of them had granted. The
+// record of the holder before it tells, but not of holders that were not marked.
+func TestMarkedSince(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		sightings []sighting
+		oldest    int64 // of holders before token 16 that are known to be marked
+	}{
+		{name: "none seen", oldest: 16},
+		{name: "one seen, which tells of the others", sightings: []sighting{{token: 15, marked: true, since: 3}}, oldest: 3},
+		{name: "own record too", sightings: []sighting{{token: 15, marked: true, since: 3}, {token: 16, marked: true, since: 3}}, oldest: 3},
+		{name: "one seen, of a version that does not tell", sightings: []sighting{{token: 15, marked: true}}, oldest: 15},
+		{name: "newest one not marked", sightings: []sighting{{token: 14, marked: true, since: 3}, {token: 15}}, oldest: 16},
+		{name: "newest one not seen", sightings: []sighting{{token: 14, marked: true, since: 3}}, oldest: 16},
+		{name: "two seen", sightings: []sighting{{token: 9, marked: true, since: 2}, {token: 15, marked: true, since: 10}}, oldest: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.oldest, oldestMarked(c.sightings, 16))
+			l := &Lease{Token: 16, sightings: c.sightings}
+			require.True(t, l.AllMarked(c.oldest-1))
+			require.False(t, l.AllMarked(c.oldest-2))
+		})
+	}
+}
+
+// TestHolderRecord guards against lease records that VMs of another version cannot read.
+func TestHolderRecord(t *testing.T) {
+	h := Holder{Name: "a/1", Address: "a", Token: 4, Renewal: 7, Released: true, MarkedSince: 2}
+	b, err := encodeHolder(h, true)
+	require.NoError(t, err)
+	got, err := decodeHolder(b)
+	require.NoError(t, err)
+	require.Equal(t, h, got)
+
+	b, err = encodeHolder(h, false)
+	require.NoError(t, err)
+	var first firstHolder
+	require.NoError(t, cbor.Unmarshal(b, &first))
+	got, err = decodeHolder(b)
+	require.NoError(t, err)
+	h.MarkedSince = 0
+	require.Equal(t, h, got)
+	_, err = decodeHolder([]byte{0xff})
+	require.Error(t, err)
+}
