--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -217,6 +217,7 @@
 		delayed       bool                           // occurrences that are due wait for others to end
 		doneRunTimes  map[occurStep]runTimeSum       // run times of completed tasks outside gangs, by step
 		doneRuns      map[occurStep][]comparedRun    // runs of completed tasks that have not been compared yet, by step
+		begun         bool                           // a worker has accepted a start of it, or may have
 	}
 )
 
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -83,9 +83,16 @@
 	return work.Task{Job: m.unit.job.ID, Occur: m.unit.occur, Step: m.unit.step, Index: m.index}
 }
 
-// state returns the recorded state of the member's task.
+// state returns the recorded state of the member's task. The states of an ended occurrence of a
+// recurring job are dropped while runs of its tasks may still hold capacity: those tasks count as
+// done, and changes of the returned state have no effect.
 func (m *member) state() *work.TaskState {
-	return &m.unit.job.Occurs[m.unit.occur].Steps[m.unit.step][m.index]
+	steps := m.unit.job.Occurs[m.unit.occur].Steps
+	if m.unit.step >= len(steps) {
+		return &work.TaskState{Phase: work.Done}
+	}
+
+	return &steps[m.unit.step][m.index]
 }
 
 // demand returns the capacity that the member reserves on its worker.
@@ -147,10 +154,25 @@
 		t.Phase = work.Waiting
 		t.Saved = checkpoint
 	}
+	e.resetUnbegun(j)
 	e.writer.put(j, nil)
 	e.requestPass()
 }
 
+// resetUnbegun returns a job to the queue if all its starts have been refused. Its record says that
+// it has started from its first placement on, because a later planner cannot tell.
+func (e *Engine) resetUnbegun(j *job) {
+	if j.begun || !j.Started || j.Phase.Final() {
+		return
+	}
+	for _, u := range e.units {
+		if u.job == j {
+			return
+		}
+	}
+	j.Started, j.Phase = false, work.Queued
+}
+
 // newestCheckpoint returns the newest checkpoint that a member has written, or else the
 // one that the unit started from.
 func (u *unit) newestCheckpoint() string {
