Workers that are slow after their start are used after others

Cause: the time for which a worker stays slow after its start (coldRemainingMs of its entry) was not read, so the idle workers of a restored domain attracted the work that waited.

What callers saw: their runs took longer than on workers that had room.

Besides, the condition for failures elsewhere is written as the linter wants it.

Conclusion: coldStartS and coldPerS of the configuration are not read; the rule does not need them.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -31,13 +31,14 @@
 		Labels       []string
 		Capacity     work.Shape
 		Free         work.Shape
-		Schedulable  bool    // accepts new runs
-		Penalty      float64 // placement cost because of recent failures; 0 for none
-		Slowdown     float64 // run time relative to the usual one; 1 is usual, 0 is unknown
-		ClaimedBy    string  // unit that capacity was freed for by eviction; empty for none
-		NoBestEffort bool    // accepts no best-effort tasks
-		CPUDemand    float64 // CPU demand of its runs as a share of its CPU capacity; may exceed 1
-		SpareBelow   int     // spare worker: accepts only priorities with a number below this; 0 if not a spare
+		Schedulable  bool          // accepts new runs
+		Penalty      float64       // placement cost because of recent failures; 0 for none
+		Slowdown     float64       // run time relative to the usual one; 1 is usual, 0 is unknown
+		ClaimedBy    string        // unit that capacity was freed for by eviction; empty for none
+		ColdFor      time.Duration // how much longer its runs are slow because it has just started
+		NoBestEffort bool          // accepts no best-effort tasks
+		CPUDemand    float64       // CPU demand of its runs as a share of its CPU capacity; may exceed 1
+		SpareBelow   int           // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
 
 		reserved *reservation // made in this decision
@@ -279,7 +280,7 @@
 func maxSlowdownCost(workers []Worker, byTask []int, u *Unit) float64 {
 	highest := 0.0
 	for _, w := range byTask {
-		highest = max(highest, workers[w].slowdownCost(u))
+		highest = max(highest, workers[w].slowdownCost(u)+workers[w].coldCost(u))
 	}
 
 	return highest
@@ -358,7 +359,7 @@
 	if !u.Need.Fits(free) || !allowed(w, i, u, a) {
 		return 0, false
 	}
-	cost := w.Penalty + w.slowdownCost(u)
+	cost := w.Penalty + w.slowdownCost(u) + w.coldCost(u)
 	if u.BestEffort {
 		cost += cpuContentionCost * w.CPUDemand
 	} else {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [cold=SECONDS] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -61,6 +61,11 @@
 
 				continue
 			}
+			if left, ok := strings.CutPrefix(r, "cold="); ok {
+				w.ColdFor = seconds(t, left)
+
+				continue
+			}
 			var run placement.Run
 			p := strings.Split(r, ":")
 			run.Group = p[0]
--- a/internal/core/straggler/record.go
+++ b/internal/core/straggler/record.go
@@ -46,7 +46,7 @@
 func (r *FailureRecord) Fail(now, lived time.Duration, elsewhere bool) bool {
 	r.anyFailure = now
 	quick := lived < LivedLong
-	if elsewhere && !(quick && r.quick) {
+	if elsewhere && (!quick || !r.quick) {
 		return false
 	}
 	before := r.quick
--- a/internal/peer/target/target.go
+++ b/internal/peer/target/target.go
@@ -139,6 +139,7 @@
 		Incarnation int64         // start time of the incarnation in Unix milliseconds; 0 if not reported
 		Clock       int64         // worker's clock in milliseconds when it wrote the entry
 		Sequence    int64
+		ColdFor     time.Duration // how much longer the worker was slow after its start when it wrote the entry; 0 if it was warm
 	}
 
 	// Client sends orders to workers. Start, Stop and Pace return the worker's clock.
--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -102,7 +102,7 @@
 	}
 	used := w.Capacity.Minus(w.free)
 	incarnation, draining := w.Incarnation, w.Draining
-	w.Worker = t
+	w.Worker, w.coldUntil = t, e.SinceBoot()+t.ColdFor
 	w.free = t.Capacity.Minus(used)
 	w.listed = true
 	w.Incarnation = incarnation
--- a/internal/run/engine/evacuation_test.go
+++ b/internal/run/engine/evacuation_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sesameyoke/internal/run/engine"
+	"sesameyoke/internal/standin/fleet"
 )
 
 // evacuationRig is a rig whose workers' domains are their racks.
@@ -23,6 +27,7 @@
 	readAt  atomic.Int64 // when the operator's records were last read, while they are not read
 	read    atomic.Bool  // the operator's records are read all the time
 	seen    int          // runs counted so far
+	coldFor atomic.Int64 // how long workers with such names are cold after their start
 }
 
 // TestEvacuation runs the scripts in testdata/evacuation. They guard against a run that is started
@@ -63,7 +68,11 @@
 	c.Discover = func(ctx context.Context) (engine.Listing, error) {
 		l, err := discover(ctx)
 		for i := range l.Workers {
-			l.Workers[i].Domain = l.Workers[i].Rack
+			w := &l.Workers[i]
+			w.Domain, w.Clock, w.ColdFor = w.Rack, 1, 0
+			if strings.HasPrefix(w.ID, "cold") {
+				w.ColdFor = time.Duration(r.coldFor.Load())
+			}
 		}
 
 		return l, err
@@ -85,6 +94,12 @@
 		require.NoError(t, err)
 		r.readAt.Store(int64(r.boot() - age))
 		r.read.Store(false)
+	case "cold": // workers whose names begin so, for this long after their start
+		length, err := time.ParseDuration(d.CmdArgs[0].Key)
+		require.NoError(t, err)
+		r.coldFor.Store(int64(length))
+	case "used": // a worker has begun runs
+		return fmt.Sprint(slices.ContainsFunc(r.fleet.Runs(), func(run fleet.RunRecord) bool { return run.Worker == d.CmdArgs[0].Key }))
 	case "read":
 		r.read.Store(true)
 	case "starts": // starts since the last such command, by domain
@@ -101,7 +116,9 @@
 	n := map[string]int{}
 	runs := r.fleet.Runs()
 	for _, run := range runs[r.seen:] {
-		n["r"+fmt.Sprint((run.Worker[1]-'0')/2)]++
+		number, err := strconv.Atoi(strings.TrimLeft(run.Worker, "cdklo"))
+		require.NoError(r.t, err)
+		n["r"+fmt.Sprint(number/2)]++
 	}
 	r.seen = len(runs)
 
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -61,7 +61,7 @@
 	return placement.Worker{
 		Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free,
 		Schedulable: w.schedulable(now),
-		Penalty:     w.failures.Penalty(now), Slowdown: w.slowdown(now), NoBestEffort: now < w.noBestEffortUntil, CPUDemand: w.cpuDemand(),
+		Penalty:     w.failures.Penalty(now), Slowdown: w.slowdown(now), ColdFor: w.coldFor(now), NoBestEffort: now < w.noBestEffortUntil, CPUDemand: w.cpuDemand(),
 	}
 }
 
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -53,6 +53,7 @@
 	noBestEffortUntil time.Duration           // receives no best-effort tasks until then
 	evacuated         bool                    // is in a domain that was evacuated in the newest pass
 	cordoned          bool                    // its host is about to go down for maintenance
+	coldUntil         time.Duration           // its runs are not slow any more from then on, by the newest entry
 	staysUntil        time.Duration           // earliest time at which a draining worker leaves
 
 	baseSlowdown    float64                 // long-term estimate of how much longer than usual its runs take
@@ -64,7 +65,7 @@
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, coldUntil: e.SinceBoot() + w.ColdFor, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
