--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -139,6 +139,8 @@
 			t := rest.NewTransport()
 			defer t.CloseIdleConnections()
 			if v.evac != nil {
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
 				go v.evac.RunFallback(ctx, st, waves)
 			}
 			v.plan(ctx, v.engineConfig(t, st, lease, watcher, waves))
