Overdue last attempts and jobs that failed elsewhere spare failing workers

Cause: failures of a job that had failed on another worker were ignored, so a worker on which only such jobs failed stayed unsuspected; and a last attempt that was overdue could start on failing workers, whose free capacity had made it overdue.

The second job in turn that fails at once on a worker counts whatever it has done elsewhere. Until the bound of its wait, a last attempt does not start on workers that have failed since their newest good start, also when it is overdue.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -59,6 +59,7 @@
 		BestEffort   bool         // best-effort: uses the CPU time that other tasks leave idle
 		Placed       map[int]int  // number of the step's tasks that already hold capacity, by worker
 		Avoid        map[int]bool // workers to exclude, such as those on which the job has failed
+		Exclude      map[int]bool // workers to exclude even if the unit is overdue
 		Allowed      map[int]bool // the only workers that may run the unit; nil for any
 		Priority     int
 		Length       time.Duration // expected run time of a task
@@ -157,7 +158,7 @@
 // requirement returns the unit's key. The result is false if the key does not cover
 // all of the unit's constraints.
 func (u *Unit) requirement() (requirement, bool) {
-	complete := u.MaxPerWorker == 0 && len(u.Avoid) == 0 && u.Allowed == nil
+	complete := u.MaxPerWorker == 0 && len(u.Avoid) == 0 && len(u.Exclude) == 0 && u.Allowed == nil
 	rack := ""
 	if u.DataRackOnly {
 		rack = u.DataRack
@@ -390,7 +391,7 @@
 // the unit on a worker.
 func allowed(w *Worker, i int, u *Unit, a *assignment) bool {
 	switch {
-	case !w.Schedulable, u.Avoid[i], u.Allowed != nil && !u.Allowed[i]:
+	case !w.Schedulable, u.Avoid[i], u.Exclude[i], u.Allowed != nil && !u.Allowed[i]:
 		return false
 	case w.ClaimedBy != "" && w.ClaimedBy != u.Name, w.keptSpare(u):
 		return false
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -95,7 +95,7 @@
 
 // readUnits parses lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
 // [guaranteed] [reserves] [spares] [overdue] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
-// [spread=N] [avoid=WORKER]".
+// [spread=N] [avoid=WORKER] [exclude=WORKER]".
 func readUnits(t *testing.T, input string) []placement.Unit {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -134,10 +134,14 @@
 				_, err = fmt.Sscan(v, &u.Priority)
 			case "spread":
 				_, err = fmt.Sscan(v, &u.MaxPerWorker)
-			case "avoid":
+			case "avoid", "exclude":
 				var avoided int
 				_, err = fmt.Sscan(v, &avoided)
-				u.Avoid = map[int]bool{avoided: true}
+				if k == "avoid" {
+					u.Avoid = map[int]bool{avoided: true}
+				} else {
+					u.Exclude = map[int]bool{avoided: true}
+				}
 			}
 			require.NoError(t, err)
 		}
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -104,7 +104,7 @@
 	switch {
 	case !w.Schedulable:
 		return &s.Unschedulable
-	case u.Avoid[i]:
+	case u.Avoid[i], u.Exclude[i]:
 		return &s.Avoided
 	case u.DataRackOnly && w.Rack != u.DataRack:
 		return &s.OtherRack
--- a/internal/core/straggler/backoff.go
+++ b/internal/core/straggler/backoff.go
@@ -59,5 +59,10 @@
 		return false
 	}
 
-	return a.Waited < max(lastAttemptWait, a.Objective)
+	return a.MayWait()
 }
+
+// MayWait reports whether the wait of the task is still within its bound. Until then, it does not
+// start on workers that have failed since their newest good start, even if it is overdue: the
+// capacity beside which it is overdue may be theirs.
+func (a LastAttempt) MayWait() bool { return a.Waited < max(lastAttemptWait, a.Objective) }
--- a/internal/core/straggler/record.go
+++ b/internal/core/straggler/record.go
@@ -8,6 +8,7 @@
 	// fail every run within 30 ms.
 	LivedLong = time.Second
 
+	maxDoubts      = 2                       // jobs in turn that have failed elsewhere too from which their failures count
 	barThreshold   = 2                       // consecutive failures from which a worker is barred
 	barBase        = 2500 * time.Millisecond // how long a worker is barred at first; doubled with each further failure
 	barMax         = 8 * time.Second         // maximum time for which a worker is barred
@@ -27,6 +28,8 @@
 	barredUntil time.Duration
 	goodStart   time.Duration // when the newest run that lived for LivedLong or was done was accepted; 0 if there is none
 	anyFailure  time.Duration // newest failure of a run of any job; 0 if there is none
+	doubts      int           // jobs in turn whose runs ended as quickly since the newest good start, but have failed on other workers too
+	doubtJob    string        // the newest of them
 }
 
 // Accepted records that a run that was accepted at the given time has lived for LivedLong or is
@@ -34,19 +37,27 @@
 // the time after it.
 func (r *FailureRecord) Accepted(at time.Duration) {
 	r.goodStart = max(r.goodStart, at)
+	if at >= r.anyFailure {
+		r.doubts, r.doubtJob = 0, ""
+	}
 	if at >= r.lastFailure {
 		r.failures, r.lastFailure, r.quick, r.barredUntil = 0, 0, false, 0
 	}
 }
 
-// Fail records that a run has failed at the given time, after it had lived for the given time.
-// elsewhere means that the job has failed on other workers too. Such a run is ignored, because the
-// job may be the cause, unless the worker is suspect already and has failed it as quickly. It reports
-// whether the worker has become suspect.
-func (r *FailureRecord) Fail(now, lived time.Duration, elsewhere bool) bool {
+// Fail records that a run of a job has failed at the given time, after it had lived for the given
+// time. elsewhere means that the job has failed on other workers too. Such a run is ignored, because
+// the job may be the cause. It counts if it has failed quickly, and either the worker is suspect already
+// or this is the second such job in turn: jobs that fail on one failing worker after the other have
+// all failed elsewhere. Fail reports whether the worker has become suspect.
+func (r *FailureRecord) Fail(now, lived time.Duration, job string, elsewhere bool) bool {
 	r.anyFailure = now
 	quick := lived < LivedLong
-	if elsewhere && (!quick || !r.quick) {
+	if elsewhere && quick && job != r.doubtJob {
+		r.doubts++
+		r.doubtJob = job
+	}
+	if elsewhere && (!quick || (!r.quick && r.doubts < maxDoubts)) {
 		return false
 	}
 	before := r.quick
@@ -74,6 +85,12 @@
 	return r.goodStart > 0 && (r.anyFailure == 0 || r.goodStart >= r.anyFailure)
 }
 
+// FailedSince reports whether a run of any job has failed on the worker recently, and none that it
+// accepted later has proved sound.
+func (r *FailureRecord) FailedSince(now time.Duration) bool {
+	return r.anyFailure > r.goodStart && now-r.anyFailure < probation
+}
+
 // suspect reports whether the newest evidence about the worker is a run that failed at once.
 func (r *FailureRecord) suspect(now time.Duration) bool { return r.quick && r.Unreliable(now) }
 
--- a/internal/core/straggler/straggler_test.go
+++ b/internal/core/straggler/straggler_test.go
@@ -114,8 +114,8 @@
 }
 
 // recordEnds records ends of runs, one per line with its time, and prints the record after
-// each. A line may tell how long the run had lived; without, it was accepted when it ended and
-// counts as one that lived long.
+// each. A line may tell how long the run had lived, and of which job it was; without, it was
+// accepted when it ended and counts as one that lived long.
 func recordEnds(t *testing.T, d *datadriven.TestData, r *straggler.FailureRecord) string {
 	if d.CmdArgs[0].Key == "new" {
 		*r = straggler.FailureRecord{}
@@ -144,7 +144,11 @@
 	case "done":
 		r.Accepted(accepted)
 	case "failed", "elsewhere":
-		r.Fail(now, lived, f[1] == "elsewhere")
+		job := "j"
+		if len(f) > 3 {
+			job = f[3]
+		}
+		r.Fail(now, lived, job, f[1] == "elsewhere")
 	case "later":
 	}
 
--- a/internal/run/engine/failing.go
+++ b/internal/run/engine/failing.go
@@ -45,7 +45,7 @@
 	case target.Done:
 		w.failures.Accepted(accepted)
 	case target.Failed:
-		if w.failures.Fail(now, lived, m.unit.job.failedElsewhere(w.ID)) {
+		if w.failures.Fail(now, lived, m.unit.job.ID, m.unit.job.failedElsewhere(w.ID)) {
 			e.Count("workers_suspected", 1)
 			e.Log.Warn().Str("event", "worker-suspect").Str("worker", w.ID).Str("id", m.unit.job.ID).Str("unit", m.unit.name).
 				Dur("lived", lived).Int("runs", len(w.runs)).Msg("")
@@ -129,14 +129,18 @@
 }
 
 // avoidUnproven excludes workers from the placement of a candidate on its last attempt unless they
-// have accepted a run that proved sound, and failed none since.
+// have accepted a run that proved sound, and failed none since. If it is overdue, it may start on
+// workers without evidence.
 func (e *Engine) avoidUnproven(c *candidate, f *fleetSnapshot) {
 	now := e.SinceBoot()
-	unproven := map[int]bool{}
+	unproven, failing := map[int]bool{}, map[int]bool{}
 	for i, name := range f.names {
 		if !e.workers[name].failures.Proven() {
 			unproven[i] = true
 		}
+		if e.workers[name].failures.FailedSince(now) {
+			failing[i] = true
+		}
 	}
 	before := c.unit.Avoid
 	a := straggler.LastAttempt{
@@ -144,6 +148,9 @@
 		CouldHold: e.avoidIfPossible(c, f, unproven), Planning: now - e.began,
 	}
 	c.unit.Avoid = before
+	if a.MayWait() && e.avoidIfPossible(c, f, failing) {
+		c.unit.Avoid, c.unit.Exclude = before, failing
+	}
 	if a.OnlyProven() {
 		c.unit.Avoid = union(before, unproven)
 	}
