--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -32,13 +32,14 @@
 		Labels       []string
 		Capacity     work.Shape
 		Free         work.Shape
-		Schedulable  bool    // accepts new runs
-		Penalty      float64 // placement cost because of recent failures; 0 for none
-		Slowdown     float64 // run time relative to the usual one; 1 is usual, 0 is unknown
-		ClaimedBy    string  // unit that capacity was freed for by eviction; empty for none
-		NoBestEffort bool    // accepts no best-effort tasks
-		CPUDemand    float64 // CPU demand of its runs as a share of its CPU capacity; may exceed 1
-		SpareBelow   int     // spare worker: accepts only priorities with a number below this; 0 if not a spare
+		Schedulable  bool          // accepts new runs
+		Penalty      float64       // placement cost because of recent failures; 0 for none
+		Slowdown     float64       // run time relative to the usual one; 1 is usual, 0 is unknown
+		ClaimedBy    string        // unit that capacity was freed for by eviction; empty for none
+		ColdFor      time.Duration // how much longer its runs are slow because it has just started
+		NoBestEffort bool          // accepts no best-effort tasks
+		CPUDemand    float64       // CPU demand of its runs as a share of its CPU capacity; may exceed 1
+		SpareBelow   int           // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
 		Lasting      []LastingRun // runs of long-running tasks, which only guaranteed units may evict
 
@@ -60,6 +61,7 @@
 		BestEffort   bool         // best-effort: uses the CPU time that other tasks leave idle
 		Placed       map[int]int  // number of the step's tasks that already hold capacity, by worker
 		Avoid        map[int]bool // workers to exclude, such as those on which the job has failed
+		Exclude      map[int]bool // workers to exclude even if the unit is overdue
 		Allowed      map[int]bool // the only workers that may run the unit; nil for any
 		Priority     int
 		Length       time.Duration // expected run time of a task
@@ -164,7 +166,7 @@
 // requirement returns the unit's key. The result is false if the key does not cover
 // all of the unit's constraints.
 func (u *Unit) requirement() (requirement, bool) {
-	complete := u.MaxPerWorker == 0 && len(u.Avoid) == 0 && u.Allowed == nil
+	complete := u.MaxPerWorker == 0 && len(u.Avoid) == 0 && len(u.Exclude) == 0 && u.Allowed == nil
 	rack := ""
 	if u.DataRackOnly {
 		rack = u.DataRack
@@ -316,7 +318,7 @@
 func maxSlowdownCost(workers []Worker, byTask []int, u *Unit) float64 {
 	highest := 0.0
 	for _, w := range byTask {
-		highest = max(highest, workers[w].slowdownCost(u))
+		highest = max(highest, workers[w].slowdownCost(u)+workers[w].coldCost(u))
 	}
 
 	return highest
@@ -395,7 +397,7 @@
 	if !u.Need.Fits(free) || !allowed(w, i, u, a) {
 		return 0, false
 	}
-	cost := w.Penalty + w.slowdownCost(u)
+	cost := w.Penalty + w.slowdownCost(u) + w.coldCost(u)
 	if u.BestEffort {
 		cost += cpuContentionCost * w.CPUDemand
 	} else {
@@ -428,7 +430,7 @@
 // the unit on a worker.
 func allowed(w *Worker, i int, u *Unit, a *assignment) bool {
 	switch {
-	case !w.Schedulable, u.Avoid[i], u.Allowed != nil && !u.Allowed[i]:
+	case !w.Schedulable, u.Avoid[i], u.Exclude[i], u.Allowed != nil && !u.Allowed[i]:
 		return false
 	case w.ClaimedBy != "" && w.ClaimedBy != u.Name, w.keptSpare(u):
 		return false
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -47,7 +47,7 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [slowdown=N] [lasting=RUN] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [cold=SECONDS] [slowdown=N] [lasting=RUN] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
 // where seconds is the expected time until the run ends.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
@@ -74,6 +74,11 @@
 
 				continue
 			}
+			if left, ok := strings.CutPrefix(r, "cold="); ok {
+				w.ColdFor = seconds(t, left)
+
+				continue
+			}
 			var run placement.Run
 			p := strings.Split(r, ":")
 			run.Group = p[0]
@@ -115,7 +120,7 @@
 
 // readUnits parses lines of the form "name TASKSxACCELERATORS [gang] [together] [evicts]
 // [guaranteed] [reserves] [spares] [overdue] [besteffort] [priority=N] [length=SECONDS] [near=RACK]
-// [sparesfast] [maxslowdown=N] [spread=N] [avoid=WORKER]".
+// [sparesfast] [maxslowdown=N] [spread=N] [avoid=WORKER] [exclude=WORKER]".
 func readUnits(t *testing.T, input string) []placement.Unit {
 	var us []placement.Unit
 	for line := range strings.SplitSeq(input, "\n") {
@@ -158,10 +163,14 @@
 				_, err = fmt.Sscan(v, &u.Priority)
 			case "spread":
 				_, err = fmt.Sscan(v, &u.MaxPerWorker)
-			case "avoid":
+			case "avoid", "exclude":
 				var avoided int
 				_, err = fmt.Sscan(v, &avoided)
-				u.Avoid = map[int]bool{avoided: true}
+				if k == "avoid" {
+					u.Avoid = map[int]bool{avoided: true}
+				} else {
+					u.Exclude = map[int]bool{avoided: true}
+				}
 			}
 			require.NoError(t, err)
 		}
