Crashes under unanswered starts do not give a task up

Cause: a crash of a worker was counted as possibly due to a task whose start the worker had never answered. Starts that are sent while a worker crashes for another reason get no answer, so tasks that had not run were blamed.

Seen by callers: jobs were shown as failed although at most one worker had crashed under one of their tasks and none had failed.

They still make a task a suspect that is started apart from others, and count towards the five crashes after which a task is given up in any case, so that a task that crashes its worker before it can answer ends.

Evidence: TestScripts/deadlyunanswered failed before (given up after two crashes and the unanswered start), scripts of TestCount.

Not mended: a run that a previous planner started, that had ended before the crash, and whose end no planner has recorded, still counts as one of unknown age. It cannot be told from a task that crashes its worker and its planner in turn (deadlytakeover).

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -29,6 +29,7 @@
 	Number      int64
 	Age         time.Duration // from its start to the crash, at least; negative if it is not known
 	Outlasted   bool          // it has surely run for Probation
+	Unanswered  bool          // its start was sent and never answered, nor was it reported: it may never have begun
 	LongRunning bool          // the task runs until its job is cancelled
 }
 
@@ -41,12 +42,15 @@
 	if slices.Contains(c.Runs, r.Number) {
 		return c, false
 	}
-	next := work.TaskCrashes{Runs: append(slices.Clone(c.Runs), r.Number), Blamed: c.Blamed, Host: c.Host}
+	next := work.TaskCrashes{Runs: append(slices.Clone(c.Runs), r.Number), Blamed: c.Blamed, Doubtful: c.Doubtful, Host: c.Host}
 	switch {
 	case r.Suspect():
 		next.Blamed++
+		if r.Unanswered {
+			next.Doubtful++
+		}
 	case r.Outlasted:
-		next.Blamed = 0
+		next.Blamed, next.Doubtful = 0, 0
 	}
 	if r.LongRunning && r.Outlasted {
 		next.Runs = []int64{r.Number} // workers may crash now and then under a task without an end
@@ -55,5 +59,9 @@
 	return next, true
 }
 
-// GiveUp reports whether a task is not to be started again.
-func GiveUp(c work.TaskCrashes) bool { return c.Blamed >= maxBlamed || len(c.Runs) >= maxCrashes }
+// GiveUp reports whether a task is not to be started again. Crashes under runs that may never have
+// begun do not count towards maxBlamed: starts that are sent to a worker while it crashes for
+// another reason get no answer either.
+func GiveUp(c work.TaskCrashes) bool {
+	return c.Blamed-c.Doubtful >= maxBlamed || len(c.Runs) >= maxCrashes
+}
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -33,9 +33,9 @@
 	})
 }
 
-// readRun parses the number of a run, its age or "?", and "outlasted".
+// readRun parses the number of a run, its age or "?", and "outlasted" or "unanswered".
 func readRun(t *testing.T, fields []string) crash.Run {
-	r := crash.Run{Age: -1, Outlasted: len(fields) > 2 && fields[2] == "outlasted"}
+	r := crash.Run{Age: -1, Outlasted: len(fields) > 2 && fields[2] == "outlasted", Unanswered: len(fields) > 2 && fields[2] == "unanswered"}
 	_, err := fmt.Sscan(fields[0], &r.Number)
 	require.NoError(t, err)
 	if fields[1] != "?" {
--- a/internal/core/work/crashes.go
+++ b/internal/core/work/crashes.go
@@ -20,6 +20,8 @@
 		Blamed int `cbor:"2,keyasint"`
 		// Host is the address of the worker of the newest run; empty if it is not known.
 		Host string `cbor:"3,keyasint,omitempty"`
+		// Doubtful is the number of those in Blamed under runs that may never have begun.
+		Doubtful int `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Crashes is the durable count of crashes under the tasks of one job. It has a record of
--- a/internal/run/engine/crash.go
+++ b/internal/run/engine/crash.go
@@ -164,6 +164,7 @@
 	if age, ok := m.ageAtLoss(); ok {
 		r.Age = age
 	}
+	r.Unanswered = m.sentAt != 0 && m.began == 0
 	r.Outlasted = m.began != 0 && m.worker.downSince()-m.began >= crash.Probation
 
 	return r
