A restarted worker is noticed by a clock that is behind its estimate

Cause: the clock in the answer to a start was compared with the newest clock received, before it was compared with the estimate. A worker that has been idle since its first report is known with a low clock, so the clock of its next life was above it and counted as that of the same life. The deadline of the start, on the clock of the life before, then stood for a lease as long as that life.

Seen by callers: a task waited for 51 s for the lease of a worker that had been up for 46 s before it restarted and was lost again.

Now the estimate is compared first. After a restart the newest clock is that of the answer and the deadlines before it are void, so no lease counts for longer than the longest one that a worker accepts. An idle worker that gets a run is not sent a lease renewal beside the start: it would carry a deadline on the earlier clock too, and without an answer might count until 25 s after it.

TestScripts, TestTakeover, TestRestarted*, TestLate*, TestLongRunSequences, TestGone* and TestRepeatedTakeovers pass.

--- a/internal/run/engine/lease.go
+++ b/internal/run/engine/lease.go
@@ -24,6 +24,21 @@
 	return d
 }
 
+// mayHoldLease reports whether a run has a lease that is to be renewed. Starts set the lease
+// themselves. Without this, a worker that was idle gets two orders by a clock value that may be that of
+// an earlier incarnation, and the later one may be unanswered for long.
+func (w *worker) mayHoldLease() bool {
+	for _, ms := range w.runs {
+		for _, m := range ms {
+			if m.phase != planned && m.phase != starting {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
 // settleOrder notes that an order with a deadline is no longer in flight.
 func (w *worker) settleOrder(incarnation int64) {
 	if w.inFlight > 0 && (w.Incarnation == incarnation || w.staleInFlight == 0) {
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -72,6 +72,10 @@
 		for n := range r.running() {
 			r.thaw(n)
 		}
+	case "listlag":
+		var ms int
+		d.ScanArgs(t, "ms", &ms)
+		r.fleet.ListLag = func() time.Duration { return time.Duration(ms) * time.Millisecond }
 	case "cutstore":
 		r.store.Cut(name, true)
 	case "store":
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -111,7 +111,7 @@
 	}
 	if len(w.runs) == 0 {
 		renewal.Wait = 0
-	} else if w.silentSince == 0 { // the lease of a silent worker is not renewed, so that it can expire
+	} else if w.silentSince == 0 && w.mayHoldLease() { // the lease of a silent worker is not renewed, so that it can expire
 		renewal.Deadline = w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease)
 	}
 	if w.hasBestEffortBesideServing() {
@@ -299,19 +299,21 @@
 }
 
 // readClock processes the clock value in the answer to an order. The answer does not tell which
-// incarnation gave it. A clock that went back is that of a new incarnation: deadlines of the
+// incarnation gave it. A clock that is behind its estimate is that of a new incarnation: deadlines of the
 // previous one mean nothing to it, and its lease may be as long as a worker accepts.
 func (e *Engine) readClock(w *worker, clock int64, order sentOrder) {
 	now := e.SinceBoot()
 	switch {
 	case clock <= 0 || w.Incarnation != order.incarnation:
-	case clock >= w.clock:
-		w.setClock(clock, now)
-	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds():
+	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
 		w.clockRestarted = true
 		w.voidDeadlines(now)
+		w.setClock(clock, now)
+		w.deadline = 0
 		w.noteClock(clock, order.at)
 		e.recordNewStale(w)
+	case clock >= w.clock:
+		w.setClock(clock, now)
 	}
 }
 
