Reports of a worker whose clock was set back are used

Cause: a report counted as one of an earlier incarnation if its start time was lower than the newest known one. The time of day of a worker may be set back between two starts; then the last one appears to be the earlier.

Seen by callers: all reports of the worker were dropped, its task never ended and was never started again.

Now the order of requests decides: a report that was requested after the planner had learnt of the newest incarnation is not from an earlier one. The outdated entry of the worker, with the higher start time, is passed over.

--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -107,9 +107,9 @@
 	w.listed = true
 	w.Incarnation = incarnation
 	if incarnation == 0 {
-		w.Incarnation = t.Incarnation
+		w.Incarnation, w.incarnationAt = t.Incarnation, e.SinceBoot()
 	}
-	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation {
+	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation && t.Incarnation != w.superseded {
 		e.handleRestart(w, t.Incarnation, draining)
 		w.noteStart(e.SinceBoot() - e.Now().Sub(time.UnixMilli(t.Incarnation)) - maxClockSkew)
 		e.logStale(w)
--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -344,6 +344,10 @@
 		r.fleet.SetSpeed(id, 1)
 	case "slow":
 		r.fleet.SetSpeed(id, 0.15)
+	case "ahead":
+		r.fleet.SetAhead(id, 2*time.Second)
+	case "setback":
+		r.fleet.SetAhead(id, 0)
 	case "cut":
 		r.fleet.Cut(id, true)
 	case "heal":
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -250,9 +250,11 @@
 	}
 }
 
-// handleReport processes a worker's report.
+// handleReport processes a worker's report. One that was requested after the planner had learnt of the
+// newest incarnation is not from an earlier one, even if its start time is lower: the worker's time of day
+// may have been set back.
 func (e *Engine) handleReport(w *worker, renewal target.LeaseRenewal, r target.Report, sent time.Duration) {
-	if r.Incarnation != 0 && r.Incarnation < w.Incarnation {
+	if r.Incarnation != 0 && r.Incarnation < w.Incarnation && sent <= w.incarnationAt {
 		return // from an earlier incarnation
 	}
 	restarted := r.Incarnation != 0 && r.Incarnation != w.Incarnation
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -38,6 +38,8 @@
 	staleInFlight     int                     // the same with a deadline on the clock of an earlier incarnation
 	inFlightExpiry    time.Duration           // by then, a lease that one of these may give must have expired
 	startedAfter      time.Duration           // its newest incarnation has not started before; 0 if that is not known
+	incarnationAt     time.Duration           // when its incarnation became known
+	superseded        int64                   // an earlier incarnation that has a higher start time; 0 if there is none
 	clockRestarted    bool                    // its clock has begun anew, but the new incarnation is not known yet
 	seenEnd           int64                   // highest number of a processed run end
 	durableEnd        int64                   // all run ends up to this number are durable
@@ -140,7 +142,10 @@
 
 // resetIncarnation discards the state of the previous incarnation.
 func (w *worker) resetIncarnation(incarnation int64, now time.Duration) {
-	w.Incarnation = incarnation
+	if w.superseded = max(w.superseded, w.Incarnation); w.superseded < incarnation {
+		w.superseded = 0
+	}
+	w.Incarnation, w.incarnationAt = incarnation, now
 	w.voidDeadlines(now)
 	w.clockRestarted = false
 	w.seenEnd, w.durableEnd, w.ackedEnd, w.heldEnd = 0, 0, 0, 0
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -75,10 +75,11 @@
 		bornAt             time.Time
 		larger             work.Shape // capacity before it last shrank
 		shrunkAt           time.Time
-		clockRate          float64 // of the worker's clock, relative to real time
-		speed              float64 // of the worker's runs: 1 is full speed, 0 makes no progress
-		token              int64   // highest fencing token seen
-		deadline           int64   // end of the lease, on the worker's clock in milliseconds
+		clockRate          float64       // of the worker's clock, relative to real time
+		ahead              time.Duration // by which its time of day is ahead
+		speed              float64       // of the worker's runs: 1 is full speed, 0 makes no progress
+		token              int64         // highest fencing token seen
+		deadline           int64         // end of the lease, on the worker's clock in milliseconds
 		runs               map[work.Task]*activeRun
 		highestRun         map[work.Task]int64 // highest run that was stopped or has ended
 		unackedEnds        []target.End
@@ -121,7 +122,7 @@
 // startIncarnation resets the worker's state, as a restart of its process does.
 func (w *Worker) startIncarnation() {
 	w.bornAt = time.Now()
-	w.Incarnation = w.bornAt.UnixMilli()
+	w.Incarnation = w.bornAt.Add(w.ahead).UnixMilli()
 	w.token, w.deadline, w.endNumber = 0, 0, 0
 	w.runs, w.highestRun, w.unackedEnds = map[work.Task]*activeRun{}, map[work.Task]int64{}, nil
 }
@@ -193,6 +194,13 @@
 	f.current(id).speed = speed
 }
 
+// SetAhead sets by how much a worker's time of day is ahead. It tells its next starts by it.
+func (f *Fleet) SetAhead(id string, ahead time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current(id).ahead = ahead
+}
+
 // SetCapacity changes a worker's capacity while it runs.
 func (f *Fleet) SetCapacity(id string, capacity work.Shape) {
 	f.mu.Lock()
