--- a/internal/run/engine/script_test.go
+++ b/internal/run/engine/script_test.go
@@ -72,6 +72,10 @@
 		for n := range r.running() {
 			r.thaw(n)
 		}
+	case "listlag":
+		var ms int
+		d.ScanArgs(t, "ms", &ms)
+		r.fleet.ListLag = func() time.Duration { return time.Duration(ms) * time.Millisecond }
 	case "cutstore":
 		r.store.Cut(name, true)
 	case "store":
@@ -341,6 +345,10 @@
 		r.fleet.SetSpeed(id, 1)
 	case "slow":
 		r.fleet.SetSpeed(id, 0.15)
+	case "ahead":
+		r.fleet.SetAhead(id, 2*time.Second)
+	case "setback":
+		r.fleet.SetAhead(id, 0)
 	case "cut":
 		r.fleet.Cut(id, true)
 	case "heal":
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -111,7 +111,7 @@
 	}
 	if len(w.runs) == 0 {
 		renewal.Wait = 0
-	} else if w.silentSince == 0 { // the lease of a silent worker is not renewed, so that it can expire
+	} else if w.silentSince == 0 && w.mayHoldLease() { // the lease of a silent worker is not renewed, so that it can expire
 		renewal.Deadline = w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease)
 	}
 	if w.hasBestEffortBesideServing() {
@@ -250,9 +250,11 @@
 	}
 }
 
-// handleReport processes a worker's report.
+// handleReport processes a worker's report. One that was requested after the planner had learnt of the
+// newest incarnation is not from an earlier one, even if its start time is lower: the worker's time of day
+// may have been set back.
 func (e *Engine) handleReport(w *worker, renewal target.LeaseRenewal, r target.Report, sent time.Duration) {
-	if r.Incarnation != 0 && r.Incarnation < w.Incarnation {
+	if r.Incarnation != 0 && r.Incarnation < w.Incarnation && sent <= w.incarnationAt {
 		return // from an earlier incarnation
 	}
 	restarted := r.Incarnation != 0 && r.Incarnation != w.Incarnation
@@ -299,19 +301,21 @@
 }
 
 // readClock processes the clock value in the answer to an order. The answer does not tell which
-// incarnation gave it. A clock that went back is that of a new incarnation: deadlines of the
+// incarnation gave it. A clock that is behind its estimate is that of a new incarnation: deadlines of the
 // previous one mean nothing to it, and its lease may be as long as a worker accepts.
 func (e *Engine) readClock(w *worker, clock int64, order sentOrder) {
 	now := e.SinceBoot()
 	switch {
 	case clock <= 0 || w.Incarnation != order.incarnation:
-	case clock >= w.clock:
-		w.setClock(clock, now)
-	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds():
+	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
 		w.clockRestarted = true
 		w.voidDeadlines(now)
+		w.setClock(clock, now)
+		w.deadline = 0
 		w.noteClock(clock, order.at)
 		e.recordNewStale(w)
+	case clock >= w.clock:
+		w.setClock(clock, now)
 	}
 }
 
