In a shortage, units are placed and runs evicted by what a delay costs

Cause: units of one rank were placed by priority and arrival, also when there was not enough room for all. A large job with time to spare came before a small one that missed its objective behind it, and evictions compared lost work alone.

What callers saw: jobs that needed little room ended late although others could have waited.

Change: a service is short while a unit that could still meet its objective does not fit. Then units of one rank are ordered by the value that their job loses by the expected wait, for each accelerator-second of need, with bounded ageing, and an eviction counts the lost value beside the lost work. Outside a shortage, order and evictions are as before. The mean work of a queue's jobs is learnt when they arrive.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -18,7 +18,7 @@
 // evictionPlan lists the runs to stop for a unit and the workers on which it runs afterwards.
 type evictionPlan struct {
 	groups map[string]bool // groups of runs to stop
-	cost   float64         // core-seconds of lost work, plus the penalties of the workers
+	cost   float64         // core-seconds of lost work and value, plus the penalties of the workers
 	byTask []int           // worker by position in Unit.Tasks
 }
 
@@ -110,7 +110,7 @@
 }
 
 // groupsToEvict returns the groups to stop on a worker so that one more task fits beside
-// the given number of tasks of the unit, the work that is lost, and whether it then fits.
+// the given number of tasks of the unit, the work and value that are lost, and whether it then fits.
 // The capacity of ending runs and of the selected groups counts as free.
 func groupsToEvict(w *Worker, u *Unit, tasks int, selected map[string]bool) (map[string]bool, float64, bool) {
 	need := scale(u.Need, tasks+1)
@@ -149,8 +149,8 @@
 // evictionCost returns the cost of stopping the run's group, in core-seconds.
 func (r *Run) evictionCost() float64 {
 	if r.Borrowed {
-		return borrowedCost + r.LostWork
+		return borrowedCost + r.LostWork + r.LostValue
 	}
 
-	return r.LostWork
+	return r.LostWork + r.LostValue
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -13,13 +13,14 @@
 type (
 	// Run is a run that occupies capacity of a worker and may be evicted.
 	Run struct {
-		Group    string // unit of the run; the runs of a gang are stopped together
-		Priority int
-		LostWork float64 // core-seconds of work that are lost if the group is stopped
-		Ending   bool    // the run is already being stopped
-		Placed   bool    // placed in this decision: it has not started and is not evicted
-		Borrowed bool    // urgent work that its workspace's guarantee does not cover
-		Need     work.Shape
+		Group     string // unit of the run; the runs of a gang are stopped together
+		Priority  int
+		LostWork  float64 // core-seconds of work that are lost if the group is stopped
+		LostValue float64 // value in core-seconds that its job loses if the group is stopped
+		Ending    bool    // the run is already being stopped
+		Placed    bool    // placed in this decision: it has not started and is not evicted
+		Borrowed  bool    // urgent work that its workspace's guarantee does not cover
+		Need      work.Shape
 
 		Remaining time.Duration // expected time until it ends
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -37,6 +37,12 @@
 				return rank(t, d)
 			case "mayevict":
 				return mayEvict(t, d)
+			case "order":
+				return order(t, d)
+			case "shed":
+				return shed(t, d)
+			case "lostvalue":
+				return lostValue(t, d)
 			}
 			t.Fatalf("unknown command %q", d.Cmd)
 
@@ -45,8 +51,8 @@
 	})
 }
 
-// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed]] ...]",
-// where seconds is the expected time until the run ends.
+// readWorkers parses lines of the form "rack free/capacity [nobesteffort] [group:priority:accelerators:lost[:seconds[:borrowed[:value]]] ...]",
+// where seconds is the expected time until the run ends, and value is the lost value. Any other word than borrowed is ignored.
 func readWorkers(t *testing.T, input string) []placement.Worker {
 	var ws []placement.Worker
 	for line := range strings.SplitSeq(input, "\n") {
@@ -70,6 +76,10 @@
 				run.Remaining = seconds(t, p[4])
 			}
 			run.Borrowed = len(p) > 5 && p[5] == "borrowed"
+			if len(p) > 6 {
+				_, err := fmt.Sscan(p[6], &run.LostValue)
+				require.NoError(t, err)
+			}
 			run.Need = shape(free)
 			w.Runs = append(w.Runs, run)
 		}
--- a/internal/core/placement/shortage.go
+++ b/internal/core/placement/shortage.go
@@ -79,6 +79,17 @@
 	return ratio(cores(capacity.Minus(free)), cores(capacity))
 }
 
+// Accelerators returns the accelerators of a service's schedulable workers, and how many are free.
+func Accelerators(workers []Worker, service string) (total, free int) {
+	for i := range workers {
+		if w := &workers[i]; w.Service == service && w.Schedulable {
+			total, free = total+w.Capacity.Accelerators, free+w.Free.Accelerators
+		}
+	}
+
+	return total, free
+}
+
 // cores returns a shape in thousandths of a core, with accelerators counted as cores.
 func cores(s work.Shape) int { return s.CPU + milliCores*AccelCores*s.Accelerators }
 
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -127,6 +127,8 @@
 		held              map[string]bool              // jobs on hold: their open or progress record cannot be read
 		unansweredStarts  map[string][]unansweredStart // starts that may still be executed, by worker
 		runTimes          map[string]*runTime          // measured run times, by queue
+		meanWorks         map[string]*meanWork         // mean work of a job, by queue
+		shortages         map[string]*shortage         // state of the services that are or were short of capacity, by service
 		peerRunTimes      map[stepKey][]time.Duration  // projected run times of the current runs, by step
 		starts            startQueue
 		calls             semaphore          // bounds concurrent stops, and lease renewals that are to be answered at once
@@ -199,6 +201,7 @@
 		crashedAt     time.Duration            // when the newest of them was counted
 		oversize      bool                     // its progress was too large to be stored: only its end is
 		unsaved       bool                     // its checkpoints were too large to be stored
+		workLearned   bool                     // its work is in the mean of its queue
 		delayed       bool                     // occurrences that are due wait for others to end
 		doneRunTimes  map[occurStep]runTimeSum // run times of completed tasks outside gangs, by step
 	}
@@ -215,7 +218,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, keptBy: map[string]int{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{}, held: map[string]bool{},
-		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
+		unansweredStarts: map[string][]unansweredStart{}, runTimes: map[string]*runTime{}, meanWorks: map[string]*meanWork{}, shortages: map[string]*shortage{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -21,6 +21,7 @@
 		step    int
 		rank    float64           // lower ranks are placed first
 		tickets map[string]string // placement tickets by worker; nil if the queue needs none
+		inputs  placement.RankInput
 		unit    placement.Unit
 	}
 )
@@ -37,9 +38,13 @@
 	e.addDueOccurrences()
 	e.recordQueues()
 	e.logUnsettled()
+	e.learnWork()
 	cands := e.candidates()
+	e.orderInShortage(cands)
 	e.noteIdle(cands)
 	if len(cands) == 0 {
+		e.endShortages()
+
 		return
 	}
 	f := e.snapshotFleet()
@@ -48,8 +53,10 @@
 		e.addConstraints(&cands[i], f)
 		units[i] = cands[i].unit
 	}
+	e.addLostValues(f, units)
 	r := placement.Decide(f.workers, units)
 	e.logWaiting(cands, f, r)
+	e.noteShortages(cands, f, r)
 	for _, name := range r.Evicted {
 		if u := e.units[name]; u != nil {
 			e.abort(u, "evicted")
@@ -146,7 +153,7 @@
 	}
 	waited := e.SinceBoot() - j.acceptedAt
 	inputs := e.rankInputs(j, occur, guaranteed)
-	c := candidate{job: j, occur: occur, step: step, tickets: tickets, rank: placement.Rank(inputs, j.waitingSince(occur, e.Now(), e.SinceBoot()))}
+	c := candidate{job: j, occur: occur, step: step, tickets: tickets, inputs: inputs, rank: placement.Rank(inputs, j.waitingSince(occur, e.Now(), e.SinceBoot()))}
 	c.unit = e.toPlacementUnit(j, occur, step, tasks)
 	c.unit.UsesSpares = waited >= spareAfter
 	c.unit.Reserves = st.Gang
