Jobs that would certainly end too late are rejected with 429 and Retry-After

Cause: every job was accepted, however long the work ahead of it. One that can only end after three times its objective takes capacity from others and earns its caller nothing.

What callers saw: a job was accepted and ended when its result had no value any more.

Change: the planner rejects such a job with code 14, by a lower bound of its wait and with margins, while at least 90 % of the accelerators are in use. Guaranteed, recurring, long-running and best-effort jobs are always accepted. Before it answers, the planner reads what has been handed in through the store since its last read, so that a job which an earlier attempt has stored is not rejected. Retry-After is the expected wait; it passes between VMs in the HTTP header of the reply, and the messages are unchanged. A rejection by a relaying VM is passed on if no attempt may have been carried out.

Evidence: TestShed fails without the read of the hand-ins, and without the exemptions of guaranteed, recurring and long-running jobs. TestRetryAfter, TestOverloaded. Entry.Submit and planner.Client.Submit return the wait beside the code; TestHandinWithQueue and TestRefusedHandin take the further result and check the same.

--- a/internal/peer/planner/client.go
+++ b/internal/peer/planner/client.go
@@ -59,7 +59,7 @@
 	if c.peers == nil {
 		c.peers = map[string]plannerpb.Planner{}
 	}
-	p := plannerpb.NewPlannerProtobufClient("http://"+address, c.HTTP)
+	p := plannerpb.NewPlannerProtobufClient("http://"+address, headerReader{c.HTTP})
 	c.peers[address] = p
 
 	return p
@@ -90,14 +90,16 @@
 	return r.Taken, nil
 }
 
-// Submit submits a job's record to a VM. After an error the outcome is unknown.
-func (c *Client) Submit(ctx context.Context, to string, record []byte, relayed bool) (code.Code, error) {
-	o, err := c.peer(to).Submit(ctx, &plannerpb.SubmitRequest{Record: record, Relayed: relayed})
+// Submit submits a job's record to a VM. After an error the outcome is unknown. The duration is
+// how long a rejected caller should wait before it retries; 0 if the VM did not say.
+func (c *Client) Submit(ctx context.Context, to string, record []byte, relayed bool) (code.Code, time.Duration, error) {
+	var retryAfter time.Duration
+	o, err := c.peer(to).Submit(withRetryAfter(ctx, &retryAfter), &plannerpb.SubmitRequest{Record: record, Relayed: relayed})
 	if err != nil {
-		return code.Unknown, errors.Wrapf(err, "submit job to %s", to)
+		return code.Unknown, 0, errors.Wrapf(err, "submit job to %s", to)
 	}
 
-	return code.Code(o.Code), nil
+	return code.Code(o.Code), retryAfter, nil
 }
 
 // Cancel asks a VM to cancel a job.
--- a/internal/peer/planner/server.go
+++ b/internal/peer/planner/server.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sesameyoke/internal/core/code"
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/planner/plannerpb"
@@ -14,7 +16,7 @@
 // Server handles the calls of other VMs.
 type Server struct {
 	Heartbeat func(from VM) Status
-	Submit    func(ctx context.Context, record []byte, relayed bool) code.Code
+	Submit    func(ctx context.Context, record []byte, relayed bool) (c code.Code, retryAfter time.Duration)
 	Cancel    func(ctx context.Context, id, workspace string, relayed bool) code.Code
 	State     func(ctx context.Context, id, workspace string, relayed bool) (work.Phase, code.Code)
 	Policy    func(have int64) (version int64, record []byte, age time.Duration)
@@ -50,7 +52,12 @@
 
 // Submit accepts a job.
 func (v service) Submit(ctx context.Context, r *plannerpb.SubmitRequest) (*plannerpb.Outcome, error) {
-	return &plannerpb.Outcome{Code: int32(v.s.Submit(ctx, r.Record, r.Relayed))}, nil
+	c, retryAfter := v.s.Submit(ctx, r.Record, r.Relayed)
+	if err := setRetryAfter(ctx, retryAfter); err != nil {
+		return nil, errors.Wrap(err, "set header")
+	}
+
+	return &plannerpb.Outcome{Code: int32(c)}, nil
 }
 
 // Cancel cancels a job.
--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -16,11 +16,14 @@
 )
 
 // Submit adds a job and returns when it is durable. After an error other than
-// ErrNotPlanning, ErrUnknownQueue, ErrTooLarge and ErrFull it is unknown whether the job is accepted.
+// ErrNotPlanning, ErrUnknownQueue, ErrTooLarge, ErrFull and OverloadError it is unknown whether the job is accepted.
 func (e *Engine) Submit(ctx context.Context, def work.Job) error {
 	if err := def.CheckSize(e.RecordBytes); err != nil {
 		return errors.Wrap(ErrTooLarge, err.Error())
 	}
+	if err := e.turnAway(ctx, def); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	if e.ctx == nil || e.ctx.Err() != nil || !e.ready {
 		e.mu.Unlock()
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -129,13 +129,14 @@
 
 // Submit submits a job to the granted queue, retrying until the context ends. It returns
 // code.LogDown, which tells the caller that the job did not run, only if no attempt can have
-// reached the store.
-func (e *Entry) Submit(ctx context.Context, g Grant, j work.Job) code.Code {
+// reached the store. The duration is how long a rejected caller should wait before it retries; 0
+// for RetryAfter.
+func (e *Entry) Submit(ctx context.Context, g Grant, j work.Job) (code.Code, time.Duration) {
 	record, err := work.Encode(j)
 	if err != nil {
 		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Err(err).Msg("")
 
-		return code.BadRequest
+		return code.BadRequest, 0
 	}
 	handin := []store.Record{{Key: work.Key(work.OpenRecord, j.ID), Value: record}}
 	if queue, err := engine.QueueRecord(*g.Queue, g.Version); err == nil {
@@ -145,9 +146,9 @@
 	}
 	start, uncertain := e.SinceBoot(), false // uncertain: an attempt may have reached the store
 	for ctx.Err() == nil {
-		c := e.submitOnce(ctx, record, handin)
+		c, retryAfter := e.submitOnce(ctx, record, handin)
 		if isFinal(c, uncertain) {
-			return c
+			return c, retryAfter
 		}
 		uncertain = uncertain || c == code.Unknown
 		if !uncertain && e.SinceBoot()-start > refuseAfter {
@@ -156,10 +157,10 @@
 		timer.Pause(ctx, retryInterval)
 	}
 	if uncertain {
-		return code.Unknown
+		return code.Unknown, 0
 	}
 
-	return code.LogDown
+	return code.LogDown, 0
 }
 
 // isFinal reports whether a result is the answer to a submission. While an earlier attempt may have been
@@ -170,28 +171,28 @@
 
 // submitOnce makes one attempt by way of the planner, then by an append to the store, and
 // if the store refuses, through another VM.
-func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) code.Code {
-	c := e.plannerSubmit(ctx, record, false)
+func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) (code.Code, time.Duration) {
+	c, retryAfter := e.plannerSubmit(ctx, record, false)
 	if isFinal(c, false) {
-		return c
+		return c, retryAfter
 	}
 	uncertain := c == code.Unknown
 	switch c = e.appendHandin(ctx, handin...); {
 	case c == code.OK, c == code.TooLarge && !uncertain:
-		return c
+		return c, 0
 	case c == code.Unknown:
 		uncertain = true
 	default:
-		if c = e.relaySubmit(ctx, record); c == code.OK {
-			return c
+		if c, retryAfter = e.relaySubmit(ctx, record); c == code.OK || (c == code.Overloaded && !uncertain) {
+			return c, retryAfter
 		}
 		uncertain = uncertain || c == code.Unknown
 	}
 	if uncertain {
-		return code.Unknown
+		return code.Unknown, 0
 	}
 
-	return code.LogDown
+	return code.LogDown, 0
 }
 
 // appendHandin appends records to HandinTopic, from which the planner reads them, without
@@ -214,7 +215,7 @@
 }
 
 // plannerSubmit submits a job's record to the planner, which may be this VM.
-func (e *Entry) plannerSubmit(ctx context.Context, record []byte, relayed bool) code.Code {
+func (e *Entry) plannerSubmit(ctx context.Context, record []byte, relayed bool) (code.Code, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if g := e.engine.Load(); g != nil {
@@ -222,24 +223,35 @@
 	}
 	to, ok := e.planner()
 	if !ok {
-		return code.NotReady
+		return code.NotReady, 0
 	}
-	c, err := e.PeerClient.Submit(ctx, to, record, relayed)
+	c, retryAfter, err := e.PeerClient.Submit(ctx, to, record, relayed)
 	if err != nil {
 		e.Log.Warn().Str("event", "planner-silent").Str("call", "submit").Str("planner", to).Err(err).Msg("")
 		e.Elector.CheckNow()
 	}
 
-	return c
+	return c, retryAfter
 }
 
 // submitLocal decodes a job's record and submits it to the engine of this VM.
-func submitLocal(ctx context.Context, g *engine.Engine, record []byte) code.Code {
+func submitLocal(ctx context.Context, g *engine.Engine, record []byte) (code.Code, time.Duration) {
 	j, err := work.DecodeJob(record)
 	if err != nil {
-		return code.BadRequest
+		return code.BadRequest, 0
+	}
+	err = g.Submit(ctx, j)
+	var overload *engine.OverloadError
+	if errors.As(err, &overload) {
+		return code.Overloaded, overload.RetryAfter
 	}
-	switch err := g.Submit(ctx, j); {
+
+	return submitCode(err), 0
+}
+
+// submitCode returns the code of a submission's result.
+func submitCode(err error) code.Code {
+	switch {
 	case err == nil:
 		return code.OK
 	case errors.Is(err, engine.ErrNotPlanning), errors.Is(err, engine.ErrUnknownQueue):
@@ -262,19 +274,19 @@
 
 // relaySubmit submits a job's record through another VM, which may be able to reach the
 // planner.
-func (e *Entry) relaySubmit(ctx context.Context, record []byte) code.Code {
+func (e *Entry) relaySubmit(ctx context.Context, record []byte) (code.Code, time.Duration) {
 	to, ok := e.randomPeer()
 	if !ok {
-		return code.NotReady
+		return code.NotReady, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := e.PeerClient.Submit(ctx, to, record, true)
+	c, retryAfter, err := e.PeerClient.Submit(ctx, to, record, true)
 	if err != nil {
 		e.Log.Warn().Str("event", "peer-silent").Str("call", "submit").Str("peer", to).Err(err).Msg("")
 	}
 
-	return c
+	return c, retryAfter
 }
 
 // randomPeer returns a random VM other than this one and the planner.
--- a/internal/run/entry/handin_test.go
+++ b/internal/run/entry/handin_test.go
@@ -33,7 +33,7 @@
 			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
 		g := entry.Grant{Queue: &policy.Queue{Name: "batch", Service: "s"}, Version: 7, Workspace: "w"}
-		got := e.Submit(t.Context(), g, work.Job{ID: "j", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 1}}})
+		got, _ := e.Submit(t.Context(), g, work.Job{ID: "j", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 1}}})
 		require.Equal(t, code.OK, got)
 		require.Len(t, appends, 1)
 		require.Len(t, appends[0].Records, 2)
@@ -57,7 +57,7 @@
 			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		})
 		g := entry.Grant{Queue: &policy.Queue{Name: "batch", Service: "s"}, Version: 7, Workspace: "w"}
-		got := e.Submit(t.Context(), g, work.Job{ID: "j", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 1}}})
+		got, _ := e.Submit(t.Context(), g, work.Job{ID: "j", Queue: "batch", Workspace: "w", Steps: []work.Step{{Count: 1}}})
 		require.Equal(t, code.TooLarge, got)
 		require.Equal(t, 1, appends)
 	})
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -103,9 +103,9 @@
 // handleSubmit handles a job submitted through this VM by another one. A VM that is not
 // the planner passes the job on only if relayed is set, and without setting it again, so
 // that a job is relayed at most once.
-func (e *Entry) handleSubmit(ctx context.Context, record []byte, relayed bool) code.Code {
+func (e *Entry) handleSubmit(ctx context.Context, record []byte, relayed bool) (code.Code, time.Duration) {
 	if e.engine.Load() == nil && !relayed {
-		return code.NotReady
+		return code.NotReady, 0
 	}
 
 	return e.plannerSubmit(ctx, record, false)
