Limits on connections, heads and bodies of clients

Cause: a head could have 1 MB, a body was read without a deadline for as long as its client stayed, and nothing bounded the number of connections or the memory of all bodies together. 256 clients took up to 262 MB of a process that has 64 MB.

internal/peer/limit bounds the connections by memory and descriptors, the kernel's buffer of each, heads (16 KB, 256 lines), the memory of bodies (a shared budget; the first 16 KB of each need no share) and the time of bodies and of answers. The connection that has made least progress is closed for a new one, and a stalled body gives its share up. Bodies that the handler does not read, as those of unauthorized requests, are no longer read from the connection. entry and serve use it on all their listeners.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -18,6 +18,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sys/unix"
 
+	"sesameyoke/internal/peer/limit"
 	"sesameyoke/internal/peer/planner"
 	"sesameyoke/internal/peer/rest"
 	"sesameyoke/internal/run/engine"
@@ -41,7 +42,6 @@
 	gcPercent               = 200                     // new allocations, in percent of the live heap, that trigger a garbage collection
 	shutdownDelay           = 2500 * time.Millisecond // from the end of readiness until the servers shut down
 	shutdownTimeout         = time.Second             // of the servers; shutdownDelay is shortened to leave twice this time of the grace period
-	headerTimeout           = 5 * time.Second
 	idleTimeout             = 60 * time.Second
 	leaseTimeout            = 1200 * time.Millisecond // another VM may take over a lease that has not changed for this time
 	deadHolderTimeout       = 800 * time.Millisecond  // replaces leaseTimeout while nothing listens at the planner's address
@@ -55,6 +55,7 @@
 	singleCoreTakeoverDelay = 60 * time.Millisecond  // a VM with one core waits this long for stronger VMs to take a free lease; inversely proportional to the cores
 	maxTakeoverDelay        = 400 * time.Millisecond
 	minCores                = 0.05 // lower limit of the cores in the calculation of the takeover delay
+	sideShare               = 8    // connections of the readiness and metrics listeners each, as a fraction of those of callers
 	metricsPortOffset       = 1    // from the first port for calls between VMs; deploy/system.toml must agree with it
 )
 
@@ -159,21 +160,21 @@
 
 func (v *vm) start(ctx context.Context) error {
 	in := &platform.Ingress{Entry: v.entry, Now: time.Now, Log: v.log}
-	for address, h := range map[string]http.Handler{
-		v.settings.Frontend: in.Frontend(), v.settings.Readiness: in.Readiness(), v.entry.Address: v.entry.Server().Handler(),
-		net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.Ports[0]+metricsPortOffset)): v.metricsHandler(),
+	callers := limit.Defaults(v.settings.MemoryMB, v.settings.MaxFDs, 0)
+	callers.IdleTimeout, callers.Log = idleTimeout, v.log
+	callers.Count = func(name string) { v.count(name, 1) }
+	peers, few := callers.Internal(callers.Connections), callers.Internal(callers.Connections/sideShare)
+	metricsAddress := net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.Ports[0]+metricsPortOffset))
+	for address, l := range map[string]struct {
+		limit.Config
+		http.Handler
+	}{
+		v.settings.Frontend: {callers, in.Frontend()}, v.settings.Readiness: {few, in.Readiness()},
+		v.entry.Address: {peers, v.entry.Server().Handler()}, metricsAddress: {few, v.metricsHandler()},
 	} {
-		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-		if err != nil {
-			return errors.Wrapf(err, "listen on %s", address)
+		if err := v.listen(ctx, address, limit.New(l.Config), l.Handler); err != nil {
+			return err
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		v.servers = append(v.servers, s)
-		go func() {
-			if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-				v.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Msg("")
-			}
-		}()
 	}
 	go v.entry.Watcher.Run(ctx)
 	go v.entry.Watcher.RunPeerFallback(ctx)
@@ -182,6 +183,23 @@
 	return nil
 }
 
+// listen serves the handler at the address until the shutdown.
+func (v *vm) listen(ctx context.Context, address string, clients *limit.Server, h http.Handler) error {
+	ln, err := clients.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	s := clients.HTTP(h)
+	v.servers = append(v.servers, s)
+	go func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Msg("")
+		}
+	}()
+
+	return nil
+}
+
 // metricsHandler serves /metrics.
 func (v *vm) metricsHandler() http.Handler {
 	r := chi.NewRouter()
--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -314,7 +314,7 @@
 	log, list := serveStandin(t, standinlog.New().Handler()), serveStandin(t, vms.New(0).Handler())
 	address := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
 	settings := writeSettings(t, fmt.Sprintf("name: a\nregion: x\ndomain: d\nlisten: %s\nlog: http://%s\nvms: http://%s\ntoken: token-of-test\nloglevel: error\n"+
-		"limits: {}\n", address, log, list))
+		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileMemoryMB, hostileFDs))
 
 	return startProcess(t, &target{
 		address: address, status: http.StatusNotFound, path: func(int) string { return "/v1/jobs" }, headers: "Host: a\r\n",
--- a/cmd/sesameyoke/serve.go
+++ b/cmd/sesameyoke/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	plog "github.com/phuslu/log"
@@ -35,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	}
 	vm := serve.New(s, newLogger(s.LogLevel))
 	if err := vm.Start(); err != nil {
 		return err
--- a/internal/core/work/job.go
+++ b/internal/core/work/job.go
@@ -9,8 +9,8 @@
 
 // Limits of the size of a job.
 const (
+	MaxSteps       = 64     // keeps the state of a job well below the size of one record
 	maxSpecBytes   = 4000   // largest specification that a caller may send
-	maxSteps       = 64     // keeps the state of a job well below the size of one record
 	maxTasks       = 2000   // of one occurrence, and of all open ones
 	maxOccurrences = 100000 // occurrences of a recurring job
 )
@@ -90,8 +90,8 @@
 	switch {
 	case len(j.Spec) > maxSpecBytes:
 		return fmt.Errorf("spec has %d bytes, more than %d", len(j.Spec), maxSpecBytes)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return fmt.Errorf("%d steps are not in the range 1 to %d", len(j.Steps), maxSteps)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return fmt.Errorf("%d steps are not in the range 1 to %d", len(j.Steps), MaxSteps)
 	case j.Times < 0 || j.Times > maxOccurrences:
 		return fmt.Errorf("%d occurrences are not in the range 0 to %d", j.Times, maxOccurrences)
 	case j.Times > 1 && j.Interval <= 0:
@@ -128,7 +128,7 @@
 
 // Possible reports whether a job within the size limits can contain the task.
 func (t Task) Possible() bool {
-	return t.Occur >= 0 && t.Occur < maxOccurrences && t.Step >= 0 && t.Step < maxSteps && t.Index >= 0 && t.Index < maxTasks
+	return t.Occur >= 0 && t.Occur < maxOccurrences && t.Step >= 0 && t.Step < MaxSteps && t.Index >= 0 && t.Index < maxTasks
 }
 
 // Occurrences returns the number of times that the steps of the job run.
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -14,6 +14,7 @@
 
 	"sesameyoke/internal/core/code"
 	"sesameyoke/internal/core/job"
+	"sesameyoke/internal/peer/limit"
 )
 
 const maxListedJobs = 1000 // maximum number of jobs in a list
@@ -81,7 +82,14 @@
 	var j job.Job
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&j); err != nil {
+	err = dec.Decode(&j)
+	_ = r.Body.Close() // returns its share of the memory for bodies before the job is submitted
+	if errors.Is(err, limit.ErrBusy) {
+		Write(w, job.NewAnswer(job.Key{}, code.Overloaded, err.Error()))
+
+		return
+	}
+	if err != nil {
 		Write(w, job.NewAnswer(job.Key{}, code.BadRequest, "the body is not a job: "+err.Error()))
 
 		return
--- a/internal/peer/operator/operator.go
+++ b/internal/peer/operator/operator.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
 
 	"sesameyoke/internal/core/code"
 	"sesameyoke/internal/core/config"
 	"sesameyoke/internal/core/contract"
 	"sesameyoke/internal/core/plan"
 	"sesameyoke/internal/peer/entry"
+	"sesameyoke/internal/peer/limit"
 )
 
 const (
@@ -98,7 +100,14 @@
 	var c config.Change
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&c); err != nil {
+	err := dec.Decode(&c)
+	_ = r.Body.Close() // returns its share of the memory for bodies before the change is published
+	if errors.Is(err, limit.ErrBusy) {
+		fail(w, code.Overloaded, err.Error())
+
+		return
+	}
+	if err != nil {
 		fail(w, code.BadRequest, "the body is not a change: "+err.Error())
 
 		return
--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -19,6 +19,7 @@
 	"sesameyoke/internal/core/ledger"
 	"sesameyoke/internal/peer/caller"
 	"sesameyoke/internal/peer/entry"
+	"sesameyoke/internal/peer/limit"
 	"sesameyoke/internal/peer/log"
 	"sesameyoke/internal/peer/operator"
 	"sesameyoke/internal/peer/vms"
@@ -37,9 +38,8 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	pollInterval      = 20 * time.Millisecond // interval between checks of a condition that is waited for
+	idleTimeout  = 2 * time.Minute
+	pollInterval = 20 * time.Millisecond // interval between checks of a condition that is waited for
 
 	// leaveGracePeriod is how long a leaving VM continues to answer requests after
 	// its peers and the load balancer have been notified, before it closes its
@@ -94,15 +94,18 @@
 // listener is open.
 func (v *VM) Start() error {
 	v.wire()
-	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", v.Settings.Listen)
+	l := v.Settings.Limits
+	bounds := limit.Defaults(l.MemoryMB, l.MaxFDs, l.MaxBody)
+	bounds.IdleTimeout, bounds.Log = idleTimeout, v.Log
+	bounds.Count = func(name string) { v.metrics.Count(name, nil) }
+	clients := limit.New(bounds)
+	ln, err := clients.Listen(context.Background(), v.Settings.Listen)
 	if err != nil {
 		return errors.Wrap(err, "VM.Start")
 	}
 	v.listener = ln
 	v.Settings.Listen = ln.Addr().String()
-	v.server = &http.Server{
-		Handler: v.routes(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
+	v.server = clients.HTTP(v.routes())
 	go func() { _ = v.server.Serve(ln) }()
 	v.startBackground()
 	v.Log.Info().Str("event", "serve").Str("vm", v.Settings.Name).Str("listen", v.Settings.Listen).Str("life", v.incarnation).Msg("")
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -47,6 +47,8 @@
 		MaxWait          unit.Duration `yaml:"hold"`     // longest time that one request waits for an answer
 		MaxRunWithoutLog unit.Duration `yaml:"short"`    // maximum declared run time of a job that is accepted while the log is down
 		SnapshotInterval int64         `yaml:"snapshot"` // number of offsets after which a snapshot of the state is appended to the log
+		MemoryMB         int           `yaml:"memory"`   // of the process, in megabytes; 0 if it is not known
+		MaxFDs           int           `yaml:"fds"`      // largest number of open descriptors; 0 if it is not known
 	}
 
 	// Settings holds the settings of one entry VM.
@@ -147,6 +149,12 @@
 	if l.MaxInflight < 1 {
 		f.Add("limits.inflight", "%d is less than 1", l.MaxInflight)
 	}
+	if l.MemoryMB < 0 {
+		f.Add("limits.memory", "%d is negative", l.MemoryMB)
+	}
+	if l.MaxFDs < 0 {
+		f.Add("limits.fds", "%d is negative", l.MaxFDs)
+	}
 	if l.MaxWait.Duration <= 0 {
 		f.Add("limits.hold", "%v is not positive", l.MaxWait)
 	}
