Heads of many short lines, and decoded bodies

A complete head of 4 KB could have a thousand header lines, which take about a hundred bytes each for as long as its body is awaited: more than 256 lines are now refused with 431. A decoder may leave the end of a chunked body unread; the connection of such a legal request was closed after the answer, and could count as stalled while the answer was awaited. Found by reading, not by an attack.

--- a/internal/peer/limit/body.go
+++ b/internal/peer/limit/body.go
@@ -8,14 +8,16 @@
 	"github.com/pkg/errors"
 )
 
-// recheckInterval is how often a waiting body looks for others that have stalled.
-const recheckInterval = 100 * time.Millisecond
+const (
+	recheckInterval = 100 * time.Millisecond // how often a waiting body looks for others that have stalled
+	drainTimeout    = time.Second            // for the end of a chunked body after what the handler needs of it
+)
 
 // ErrBusy is returned by reads of a body for which there is no memory. The request can be repeated.
 var ErrBusy = errors.New("too many large bodies are being read")
 
 // body is the body of a request. Reads beyond freeBodyBytes need a share of the budget, which Close
-// returns. The lock of the server guards reserved, evicted and complete.
+// returns. The lock of the server guards reserved and what follows.
 type body struct {
 	io.Reader
 
@@ -26,6 +28,7 @@
 	covered  int64 // bytes that may be read with the shares so far
 	reserved int64
 	evicted  bool // the share is needed by others
+	closed   bool // the handler needs no more of it
 	complete bool
 }
 
@@ -33,6 +36,11 @@
 // end is not read from the client either.
 func (s *Server) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lines(r.Header) > headLines {
+			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+
+			return
+		}
 		c, ok := r.Context().Value(connKey{}).(*conn)
 		if !ok || r.Body == nil || r.Body == http.NoBody {
 			if ok {
@@ -50,6 +58,15 @@
 	})
 }
 
+func lines(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+
+	return n
+}
+
 func (b *body) begin() {
 	s := b.server
 	s.enter(b.conn, readingBody)
@@ -61,14 +78,21 @@
 	}
 }
 
-// end makes the server close the connection after the answer if the client has not sent the whole body.
+// end makes the server close the connection after the answer if the handler has not read the body.
 func (b *body) end() {
-	_ = b.Close() // never fails
 	b.server.mu.Lock()
 	defer b.server.mu.Unlock()
+	b.release()
 	b.conn.body = nil
-	if !b.complete {
-		_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection only
+	if !b.complete { // it can be closed for another one while the server waits for the rest
+		b.conn.phase, b.conn.paid = readingBody, b.server.Now()
+	}
+	switch {
+	case b.complete:
+	case b.closed:
+		_ = b.conn.SetReadDeadline(time.Now().Add(drainTimeout)) // fails on a closed connection only
+	default:
+		_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // as above
 	}
 }
 
@@ -183,16 +207,23 @@
 
 // Close returns the share of the body. Call it when the body has been decoded.
 func (b *body) Close() error {
-	s := b.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	b.server.mu.Lock()
+	defer b.server.mu.Unlock()
+	b.release()
+	b.closed = true
+	b.conn.phase = answering // a decoder may leave the end of a chunked body unread
+
+	return nil
+}
+
+// release returns the share of the body. The lock is held.
+func (b *body) release() {
 	if b.reserved == 0 {
-		return nil
+		return
 	}
+	s := b.server
 	s.reserved -= b.reserved
 	b.reserved = 0
 	close(s.freed)
 	s.freed = make(chan struct{})
-
-	return nil
 }
--- a/internal/peer/limit/limit_test.go
+++ b/internal/peer/limit/limit_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +152,37 @@
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(t, c))
 }
 
+// TestManyLines guards against heads whose short lines take many times their size in memory.
+func TestManyLines(t *testing.T) {
+	address := start(t, func(*Config) {}, readAll)
+	head := "GET / HTTP/1.1\r\nHost: a\r\n"
+	require.Equal(t, http.StatusOK, status(t, send(t, address, head+strings.Repeat("a:\r\n", 250)+"\r\n")))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(t, send(t, address, head+strings.Repeat("a:\r\n", 300)+"\r\n")))
+	c := send(t, address, head+strings.Repeat("a:\r\n", 2000))
+	_, err := io.Copy(io.Discard, c)
+	require.True(t, err == nil || errors.Is(err, syscall.ECONNRESET), err)
+}
+
+// TestDecodedBody sends the end of a chunked body after what a decoder reads of it. It guards against a
+// connection that is closed in spite of a legal request.
+func TestDecodedBody(t *testing.T) {
+	decoded := make(chan bool, 2)
+	address := start(t, func(*Config) {}, func(_ http.ResponseWriter, r *http.Request) {
+		err := json.NewDecoder(r.Body).Decode(&struct{}{})
+		_ = r.Body.Close()
+		decoded <- err == nil
+	})
+	request := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+	c := send(t, address, request)
+	require.True(t, <-decoded)
+	for range 2 {
+		_, err := io.WriteString(c, "0\r\n\r\n"+request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status(t, c))
+		require.True(t, <-decoded)
+	}
+}
+
 // TestUnreadBody lets a handler refuse a request without reading its body. It guards against a server
 // that waits for the rest of the body before it answers or closes the connection.
 func TestUnreadBody(t *testing.T) {
