Store calls name the partition of a topic

Every append and every listing of the newest records went to partition 0. A partition that does not answer could not be replaced by another one.

store.Append has the field Part, and Newest and Scan a partition; 0 is what all callers use so far. Read stays in partition 0: nothing reads another one record by record. The fake store keeps a log per partition and lets single ones fail.

--- a/internal/peer/planner/store.go
+++ b/internal/peer/planner/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,7 +12,9 @@
 	"sesameyoke/internal/peer/store"
 )
 
-// Store calls that a VM makes on behalf of another.
+// Store calls that a VM makes on behalf of another. The partition follows the call, after a slash,
+// unless it is 0. A VM of a version that knows no partitions refuses such a call as unknown, and
+// doesn't make it in partition 0.
 const (
 	appendCall = "append"
 	readCall   = "read"
@@ -35,7 +39,7 @@
 	return &store.Store{
 		Append: func(ctx context.Context, a store.Append) (int64, error) {
 			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{
-				Call: appendCall, Topic: a.Topic, Records: recordsToProto(a.Records), At: a.ExpectedEnd, Producer: a.Producer, Epoch: a.Epoch, Sequence: a.Sequence,
+				Call: callIn(appendCall, a.Part), Topic: a.Topic, Records: recordsToProto(a.Records), At: a.ExpectedEnd, Producer: a.Producer, Epoch: a.Epoch, Sequence: a.Sequence,
 			})
 			if err != nil {
 				return 0, err
@@ -51,8 +55,8 @@
 
 			return store.Range{Records: recordsFromProto(r.Records), End: r.End, First: r.First}, nil
 		},
-		Newest: func(ctx context.Context, topic, after string) (store.Page, error) {
-			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{Call: newestCall, Topic: topic, After: after})
+		Newest: func(ctx context.Context, topic string, part int, after string) (store.Page, error) {
+			r, err := c.storeCall(ctx, to, &plannerpb.StoreRequest{Call: callIn(newestCall, part), Topic: topic, After: after})
 			if err != nil {
 				return store.Page{}, err
 			}
@@ -62,6 +66,30 @@
 	}
 }
 
+// callIn returns the name of a call in a partition.
+func callIn(call string, part int) string {
+	if part == 0 {
+		return call
+	}
+
+	return call + "/" + strconv.Itoa(part)
+}
+
+// parseCall returns the call and the partition that a name tells. A name that callIn doesn't return
+// is no call.
+func parseCall(name string) (call string, part int) {
+	call, number, found := strings.Cut(name, "/")
+	if !found {
+		return name, 0
+	}
+	part, err := strconv.Atoi(number)
+	if err != nil || part < 1 {
+		return name, 0
+	}
+
+	return call, part
+}
+
 func (c *Client) storeCall(ctx context.Context, to string, q *plannerpb.StoreRequest) (*plannerpb.StoreReply, error) {
 	r, err := c.peer(to).Store(ctx, q)
 	if err != nil {
@@ -131,19 +159,23 @@
 }
 
 func (v service) storeReply(ctx context.Context, q *plannerpb.StoreRequest) (*plannerpb.StoreReply, error) {
-	switch q.Call {
+	call, part := parseCall(q.Call)
+	switch call {
 	case appendCall:
 		end, err := v.s.Store.Append(ctx, store.Append{
-			Topic: q.Topic, Records: recordsFromProto(q.Records), ExpectedEnd: q.At, Producer: q.Producer, Epoch: q.Epoch, Sequence: q.Sequence,
+			Topic: q.Topic, Part: part, Records: recordsFromProto(q.Records), ExpectedEnd: q.At, Producer: q.Producer, Epoch: q.Epoch, Sequence: q.Sequence,
 		})
 
 		return &plannerpb.StoreReply{End: end}, err
 	case readCall:
+		if part != 0 {
+			break
+		}
 		r, err := v.s.Store.Read(ctx, q.Topic, q.From, time.Duration(q.Wait)*time.Millisecond)
 
 		return &plannerpb.StoreReply{Records: recordsToProto(r.Records), End: r.End, First: r.First}, err
 	case newestCall:
-		p, err := v.s.Store.Newest(ctx, q.Topic, q.After)
+		p, err := v.s.Store.Newest(ctx, q.Topic, part, q.After)
 
 		return &plannerpb.StoreReply{Records: recordsToProto(p.Records), More: p.More, End: p.End}, err
 	}
--- a/internal/peer/store/scan.go
+++ b/internal/peer/store/scan.go
@@ -7,10 +7,11 @@
 	"github.com/pkg/errors"
 )
 
-// Scan reads the newest record of each key of a topic, page by page. A page that could not
+// Scan reads the newest record of each key of a topic's partition, page by page. A page that could not
 // be read is requested again by the next call of Read, without those before it.
 type Scan struct {
 	Topic   string
+	Part    int
 	Records []Record // of the pages read so far
 	End     int64    // offset from which to continue reading; valid once Begun
 	Begun   bool     // the first page has been read
@@ -19,7 +20,7 @@
 	after string // last key of the newest page
 }
 
-// All returns the newest record of each key and the offset from which to continue reading.
+// All returns the newest record of each key in partition 0 and the offset from which to continue reading.
 func (s *Store) All(ctx context.Context, topic string) ([]Record, int64, error) {
 	scan := Scan{Topic: topic}
 	for !scan.Done {
@@ -33,7 +34,7 @@
 
 // Read reads the next page.
 func (c *Scan) Read(ctx context.Context, s *Store) error {
-	p, err := s.Newest(ctx, c.Topic, c.after)
+	p, err := s.Newest(ctx, c.Topic, c.Part, c.after)
 	if err != nil {
 		return errors.Wrapf(err, "newest records of topic %q after %q", c.Topic, c.after)
 	}
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -42,6 +42,7 @@
 	// Append is a request to add records to a topic atomically.
 	Append struct {
 		Topic       string
+		Part        int // partition of the topic
 		Records     []Record
 		ExpectedEnd int64  // condition: offset at which the topic must end; negative for none
 		Producer    string // name by which the append is fenced; empty if it is not fenced
@@ -81,9 +82,9 @@
 		// Read returns the records starting at offset from. If there are none, it waits up to
 		// wait for one.
 		Read func(ctx context.Context, topic string, from int64, wait time.Duration) (Range, error)
-		// Newest returns a page with the newest record of each key, in the order of the keys
-		// and starting after the given key.
-		Newest func(ctx context.Context, topic, after string) (Page, error)
+		// Newest returns a page with the newest record of each key in a partition, in the order
+		// of the keys and starting after the given key.
+		Newest func(ctx context.Context, topic string, part int, after string) (Page, error)
 	}
 )
 
--- a/internal/run/engine/mutation_test.go
+++ b/internal/run/engine/mutation_test.go
@@ -271,12 +271,12 @@
 func withStaleHandins(c *engine.Config) {
 	s := *c.Store
 	newest := s.Newest
-	s.Newest = func(ctx context.Context, topic, after string) (store.Page, error) {
+	s.Newest = func(ctx context.Context, topic string, part int, after string) (store.Page, error) {
 		if topic == engine.HandinTopic {
 			return store.Page{}, nil
 		}
 
-		return newest(ctx, topic, after)
+		return newest(ctx, topic, part, after)
 	}
 	c.Store = &s
 }
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -288,7 +288,9 @@
 		Read: func(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Range, error) {
 			return store.Range{}, wait(ctx)
 		},
-		Newest: func(ctx context.Context, _, _ string) (store.Page, error) { return store.Page{}, wait(ctx) },
+		Newest: func(ctx context.Context, _ string, _ int, _ string) (store.Page, error) {
+			return store.Page{}, wait(ctx)
+		},
 	}
 }
 
--- a/internal/run/relay/relay.go
+++ b/internal/run/relay/relay.go
@@ -66,9 +66,9 @@
 
 			return got, err
 		},
-		Newest: func(ctx context.Context, topic, after string) (p store.Page, err error) {
+		Newest: func(ctx context.Context, topic string, part int, after string) (p store.Page, err error) {
 			err = r.try(ctx, true, func(ctx context.Context, s *store.Store) error {
-				p, err = s.Newest(ctx, topic, after)
+				p, err = s.Newest(ctx, topic, part, after)
 
 				return err
 			})
--- a/internal/run/relay/relay_test.go
+++ b/internal/run/relay/relay_test.go
@@ -83,10 +83,10 @@
 
 			return s.Read(ctx, topic, from, wait)
 		},
-		Newest: func(ctx context.Context, topic, after string) (store.Page, error) {
+		Newest: func(ctx context.Context, topic string, part int, after string) (store.Page, error) {
 			r.routes = append(r.routes, name)
 
-			return s.Newest(ctx, topic, after)
+			return s.Newest(ctx, topic, part, after)
 		},
 	}
 }
@@ -129,7 +129,7 @@
 		_, err = r.relay.Append(ctx, r.append(t, d))
 	case "newest":
 		var p store.Page
-		p, err = r.relay.Newest(ctx, "keyed.t", "")
+		p, err = r.relay.Newest(ctx, "keyed.t", 0, "")
 		for _, rec := range p.Records {
 			r.routes = append(r.routes, rec.Key+"="+string(rec.Value))
 		}
--- a/internal/standin/fleet/link.go
+++ b/internal/standin/fleet/link.go
@@ -33,8 +33,8 @@
 func (s *Store) Via(caller, through string) *store.Store {
 	c := s.For(through, func() {})
 	newest := c.Newest // its reply reaches the peer, not yet the caller
-	c.Newest = func(ctx context.Context, t, after string) (store.Page, error) {
-		p, err := newest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{}), t, after)
+	c.Newest = func(ctx context.Context, t string, part int, after string) (store.Page, error) {
+		p, err := newest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{}), t, part, after)
 		if err != nil {
 			return p, err
 		}
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -32,9 +32,10 @@
 		AppendMax int            // size of the largest append that the store accepts
 
 		mu     sync.Mutex
-		topics map[string]*topic
+		topics map[partition]*topic
 		faults StoreFaults
-		cutOff map[string]bool // callers whose calls fail
+		failed map[partition]StoreFaults // faults of single partitions: Down, Silent and LostShare
+		cutOff map[string]bool           // callers whose calls fail
 		links  map[string]*link
 		Calls  int // calls received so far
 	}
@@ -49,6 +50,13 @@
 		AppendLatency time.Duration // added to the latency of each append
 	}
 
+	// partition names a partition of a topic.
+	partition struct {
+		topic string
+		part  int
+	}
+
+	// topic is the content of a partition.
 	topic struct {
 		records   []timedRecord
 		first     int64 // offset of the first record
@@ -74,7 +82,7 @@
 func NewStore(random func() float64) *Store {
 	return &Store{
 		Retention: 20 * time.Second, Random: random, PageSize: 50, PageBytes: 1 << 20, RecordMax: 256 << 10, AppendMax: store.DefaultRequestBytes,
-		topics: map[string]*topic{}, cutOff: map[string]bool{}, links: map[string]*link{},
+		topics: map[partition]*topic{}, failed: map[partition]StoreFaults{}, cutOff: map[string]bool{}, links: map[string]*link{},
 	}
 }
 
@@ -85,6 +93,13 @@
 	s.faults = f
 }
 
+// FailPart replaces the faults of one partition of a topic, of which Down, Silent and LostShare count.
+func (s *Store) FailPart(name string, part int, f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed[partition{name, part}] = f
+}
+
 // Cut makes all calls of a caller fail, or serves the caller again.
 func (s *Store) Cut(caller string, cut bool) {
 	s.mu.Lock()
@@ -98,20 +113,23 @@
 	_, _ = s.apply(store.Append{Topic: topic, ExpectedEnd: -1, Records: []store.Record{{Key: key, Value: value}}})
 }
 
-// Value returns the newest value of a key of a topic; nil if there is none.
+// Value returns the newest value of a key in partition 0 of a topic; nil if there is none.
 func (s *Store) Value(name, key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.topic(name).newest[key].Value
+	return s.topic(name, 0).newest[key].Value
 }
 
-// Keys returns the sorted keys of a topic's newest records.
-func (s *Store) Keys(name string) []string {
+// Keys returns the sorted keys of the newest records in partition 0 of a topic.
+func (s *Store) Keys(name string) []string { return s.KeysIn(name, 0) }
+
+// KeysIn returns the sorted keys of the newest records in a partition of a topic.
+func (s *Store) KeysIn(name string, part int) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return slices.Sorted(maps.Keys(s.topic(name).newest))
+	return slices.Sorted(maps.Keys(s.topic(name, part).newest))
 }
 
 // For returns a store client for one caller. The client calls gate before and after each
@@ -135,11 +153,11 @@
 
 			return got, s.transfer(ctx, caller, got.Records)
 		},
-		Newest: func(ctx context.Context, t, after string) (store.Page, error) {
+		Newest: func(ctx context.Context, t string, part int, after string) (store.Page, error) {
 			gate()
 			defer gate()
 
-			p, err := s.newest(ctx, caller, t, after)
+			p, err := s.newest(ctx, caller, t, part, after)
 			if err != nil {
 				return p, err
 			}
@@ -149,21 +167,22 @@
 	}
 }
 
-func (s *Store) topic(name string) *topic {
-	t := s.topics[name]
+func (s *Store) topic(name string, part int) *topic {
+	t := s.topics[partition{name, part}]
 	if t == nil {
 		t = &topic{newest: map[string]store.Record{}, producers: map[string]*producerState{}, changed: make(chan struct{})}
-		s.topics[name] = t
+		s.topics[partition{name, part}] = t
 	}
 
 	return t
 }
 
-// simulateCall waits for the latency of a call, and returns an error if the store is down
-// or the caller is cut off.
-func (s *Store) simulateCall(ctx context.Context, caller string) error {
+// simulateCall waits for the latency of a call, and returns an error if the store or the
+// partition is down or the caller is cut off.
+func (s *Store) simulateCall(ctx context.Context, caller, name string, part int) error {
 	s.mu.Lock()
-	f, cut := s.faults, s.cutOff[caller]
+	f, cut, of := s.faults, s.cutOff[caller], s.failed[partition{name, part}]
+	f.Down, f.Silent = f.Down || of.Down, f.Silent || of.Silent
 	s.Calls++
 	s.mu.Unlock()
 	if (f.Down || cut) && f.Silent {
@@ -194,7 +213,7 @@
 }
 
 func (s *Store) append(ctx context.Context, caller string, a store.Append) (int64, error) {
-	if err := s.simulateCall(ctx, caller); err != nil {
+	if err := s.simulateCall(ctx, caller, a.Topic, a.Part); err != nil {
 		return 0, err
 	}
 	if err := s.upload(ctx, caller, a.Records); err != nil {
@@ -208,7 +227,8 @@
 	}
 	s.mu.Lock()
 	late := f.LateShare > 0 && s.Random() < f.LateShare
-	lose := f.LostShare > 0 && s.Random() < f.LostShare
+	lost := max(f.LostShare, s.failed[partition{a.Topic, a.Part}].LostShare)
+	lose := lost > 0 && s.Random() < lost
 	s.mu.Unlock()
 	if late {
 		after := time.Second + time.Duration(s.Random()*float64(5*time.Second))
@@ -234,7 +254,7 @@
 func (s *Store) apply(a store.Append) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(a.Topic)
+	t := s.topic(a.Topic, a.Part)
 	for _, r := range a.Records {
 		if len(r.Key) > store.MaxKeyBytes {
 			return 0, errors.Wrapf(store.ErrInvalid, "key %q has %d bytes, more than %d", r.Key, len(r.Key), store.MaxKeyBytes)
@@ -310,13 +330,13 @@
 }
 
 func (s *Store) read(ctx context.Context, caller, name string, from int64, wait time.Duration) (store.Range, error) {
-	if err := s.simulateCall(ctx, caller); err != nil {
+	if err := s.simulateCall(ctx, caller, name, 0); err != nil {
 		return store.Range{}, err
 	}
 	until := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		t := s.topic(name)
+		t := s.topic(name, 0)
 		t.expire(s.Retention)
 		if first := t.first; from < first {
 			s.mu.Unlock()
@@ -353,13 +373,13 @@
 	}
 }
 
-func (s *Store) newest(ctx context.Context, caller, name, after string) (store.Page, error) {
-	if err := s.simulateCall(ctx, caller); err != nil {
+func (s *Store) newest(ctx context.Context, caller, name string, part int, after string) (store.Page, error) {
+	if err := s.simulateCall(ctx, caller, name, part); err != nil {
 		return store.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(name)
+	t := s.topic(name, part)
 	keys := make([]string, 0, len(t.newest))
 	for k := range t.newest {
 		if k > after {
