--- a/internal/run/lead/hold.go
+++ b/internal/run/lead/hold.go
@@ -41,6 +41,7 @@
 	h, end := e.holder, e.end
 	e.mu.Unlock()
 	h.Renewal++
+	h.Journal = l.nextJournal()
 	sent := e.SinceBoot()
 	newEnd, err := e.append(ctx, h, end, renewAttempts)
 	if err == nil {
@@ -48,6 +49,7 @@
 		e.holder, e.end = h, newEnd
 		e.mu.Unlock()
 		l.extend(sent, e.LeaseValidity, h.Renewal)
+		l.noteJournal(h.Journal)
 
 		return true
 	}
@@ -65,6 +67,9 @@
 	}
 	found, _ := e.Holder()
 	mine := found.Name == e.Name && found.Token == l.Token && !found.Released
+	if mine {
+		l.noteJournal(found.Journal) // the renewal found may be an earlier attempt at this one
+	}
 	if mine && found.Renewal == h.Renewal {
 		l.extend(sent, e.LeaseValidity, h.Renewal) // the renewal was stored but its answer was lost
 	}
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
@@ -57,6 +56,7 @@
 		Token    int64    // fencing token
 		Renewal  int64    // number of renewals under this token
 		Released bool     // the holder has given up the lease
+		Journal  Journal  `cbor:"-"` // in the record only if it has moved; see movedHolder
 	}
 
 	// LeaseStatus is the planner's answer to a heartbeat: the state of its lease.
@@ -286,8 +286,8 @@
 		if r.Key != key {
 			continue
 		}
-		var h Holder
-		if err := cbor.Unmarshal(r.Value, &h); err != nil {
+		h, err := decodeHolder(r.Value)
+		if err != nil {
 			e.Log.Warn().Str("event", "lease-record-unreadable").Err(err).Int64("offset", r.Offset).Msg("")
 			e.unreadable = true
 
@@ -353,7 +353,7 @@
 	if leaving || (!mine && !e.free()) {
 		return nil
 	}
-	next := Holder{Name: e.Name, Address: e.Address, Token: token}
+	next := Holder{Name: e.Name, Address: e.Address, Token: token, Journal: h.Journal}
 	sent := e.SinceBoot()
 	newEnd, err := e.append(ctx, next, end, 1)
 	if err != nil {
@@ -361,7 +361,7 @@
 
 		return nil
 	}
-	l := &Lease{Token: next.Token, sinceBoot: e.SinceBoot}
+	l := &Lease{Token: next.Token, sinceBoot: e.SinceBoot, wake: e.CheckNow, journal: next.Journal}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.extend(sent, e.LeaseValidity, next.Renewal)
 	e.mu.Lock()
@@ -395,7 +395,7 @@
 // append writes the lease record on condition that the topic still ends at offset at. It
 // sends up to tries copies while no answer arrives.
 func (e *Elector) append(ctx context.Context, h Holder, at int64, tries int) (int64, error) {
-	b, err := cbor.Marshal(h)
+	b, err := encodeHolder(h)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode lease")
 	}
--- a/internal/run/lead/lease.go
+++ b/internal/run/lead/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -26,6 +27,12 @@
 		renewal          atomic.Int64    // number of the newest renewal
 		ctx              context.Context // cancelled when the lease ends
 		cancel           context.CancelFunc
+		wake             func() // makes the elector renew the lease at once
+
+		mu       sync.Mutex
+		journal  Journal       // named by the newest renewal that is known to be stored
+		proposed *Journal      // to be named by the next renewal; nil if that is the same one
+		recorded chan struct{} // closed when a stored renewal names it
 	}
 )
 
--- a/internal/run/lead/leave.go
+++ b/internal/run/lead/leave.go
@@ -29,7 +29,7 @@
 		return
 	}
 	l.Invalidate()
-	if to, ok := e.Successor(); ok && e.offerLease(ctx, to, h, end) == nil {
+	if to, ok := e.Successor(); ok && l.offerable() && e.offerLease(ctx, to, h, end) == nil {
 		return
 	}
 	h.Released = true
@@ -59,7 +59,7 @@
 // transferToStronger offers the lease to a stronger VM, if there is one, and reports
 // whether that VM acquired it. No orders are issued while the outcome is unknown.
 func (e *Elector) transferToStronger(ctx context.Context, l *Lease) bool {
-	if e.Stronger == nil || e.SinceBoot() < e.lastOfferAt+transferInterval {
+	if e.Stronger == nil || !l.offerable() || e.SinceBoot() < e.lastOfferAt+transferInterval {
 		return false
 	}
 	to, ok := e.Stronger()
@@ -135,7 +135,7 @@
 	}
 	e.offer = nil
 	ended := e.endedToken
-	e.holder.Token, e.holder.Released = o.token, true
+	e.holder.Token, e.holder.Released, e.holder.Journal = o.token, true, Journal{} // no other one is offered
 	e.known, e.unreadable, e.end = true, false, o.end
 	e.endedToken = max(e.endedToken, o.token) // its holder issues no orders once the offer is accepted
 	e.mu.Unlock()
