--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -117,7 +117,7 @@
 	})
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.Ports[0]))
 	startTime := time.Now()
-	name := settings.Name + "/" + strconv.FormatInt(startTime.UnixNano(), 36) + lead.CompactMark + lead.GrantMark
+	name := settings.Name + "/" + strconv.FormatInt(startTime.UnixNano(), 36) + lead.JournalMark + lead.CompactMark + lead.GrantMark
 	waves := &platform.Waves{Log: l}
 	watcher := &entry.ConfigWatcher{Reader: platform.NewConfigReader(direct, waves), Wait: configPollWait, SinceBoot: sinceBoot, Log: l}
 	v.elector = lead.New(lead.Config{
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -90,6 +90,12 @@
 		// AllReadCompact reports whether all VMs read compact progress records, as they do from
 		// the version that has lead.CompactMark on; nil if they do.
 		AllReadCompact func() bool
+		// JournalParts is the number of partitions of JobsTopic. Below 2, the journal stays in its
+		// partition also if that does not answer.
+		JournalParts int
+		// AllReadMoved reports whether all VMs read a journal in any partition, as they do from the
+		// version that has lead.JournalMark on; nil if they do.
+		AllReadMoved func() bool
 		// Advise asks the placement service which of the named workers may run a step. It
 		// returns their tickets by worker and how long these are valid. It is called for
 		// advised queues only.
@@ -159,6 +165,7 @@
 		reviewedAt time.Duration // when moveRuns last examined the runs
 
 		writer        writer
+		journal       journalState
 		passRequested chan struct{}  // holds a value while a pass is requested
 		background    sync.WaitGroup // goroutines that must end before Run returns
 		ctx           context.Context
@@ -219,6 +226,7 @@
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
+	e.journal.init(e)
 
 	return e
 }
@@ -239,6 +247,9 @@
 	e.background.Go(func() { e.discover(ctx) })
 	e.background.Go(func() { e.readHandins(ctx) })
 	e.background.Go(func() { e.updateSilent(ctx) })
+	if e.JournalParts > 1 {
+		e.background.Go(func() { e.journal.clean(ctx) })
+	}
 	if e.Cloud != nil {
 		e.background.Go(func() { e.maintain(ctx) })
 	}
--- a/internal/run/engine/parts_test.go
+++ b/internal/run/engine/parts_test.go
@@ -159,7 +159,7 @@
 	e.writer.put(&job{Job: work.Job{ID: "j"}, durable: true}, func(err error) { called = err == nil })
 	e.writer.write(t.Context(), e.writer.nextGroup())
 	require.True(t, called)
-	require.Zero(t, e.writer.next)
+	require.Zero(t, e.journal.at.next)
 }
 
 // TestRefusedJobNotStarted lets the store refuse a job while its tasks are placed. It guards against a
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -32,7 +32,8 @@
 // recover fences the previous planner and reads its state. It retries until that succeeds
 // or a successor has fenced this planner. What has been read is not read again.
 func (e *Engine) recover(ctx context.Context) error {
-	handins, jobs := store.Scan{Topic: HandinTopic}, store.Scan{Topic: JobsTopic}
+	e.journal.takeOver()
+	handins, jobs := store.Scan{Topic: HandinTopic}, store.Scan{Topic: JobsTopic, Part: e.journal.at.number}
 	reads, readCtx := errgroup.WithContext(ctx)
 	reads.Go(func() error {
 		if err := e.retryStep(readCtx, e.fencePredecessor); err != nil {
@@ -55,6 +56,7 @@
 	defer e.mu.Unlock()
 	e.applyListing(*e.firstListing)
 	e.handinOffset, e.handinReadAt = handins.End, e.fencedAt
+	e.journal.load(jobs.Records)
 	e.rebuildJobs(jobs.Records, handins.Records)
 	e.adopt()
 	e.recordGrants()
@@ -65,7 +67,9 @@
 // fencePredecessor sets the producer's epoch, after which the previous planner can write
 // nothing more.
 func (e *Engine) fencePredecessor(ctx context.Context) error {
-	_, err := e.Store.Append(ctx, store.Append{Topic: JobsTopic, ExpectedEnd: -1, Producer: producer, Epoch: e.Lease.Token})
+	_, err := e.Store.Append(ctx, store.Append{
+		Topic: JobsTopic, Part: e.journal.at.number, ExpectedEnd: -1, Producer: producer, Epoch: e.Lease.Token,
+	})
 
 	return errors.Wrap(err, "fence the previous planner")
 }
--- a/internal/run/engine/writer.go
+++ b/internal/run/engine/writer.go
@@ -30,7 +30,6 @@
 		parts     partCounts
 		callbacks []callback // to be called once all changes before them are durable
 		wake      chan struct{}
-		next      int64 // sequence number of the next append
 		stopped   bool
 	}
 
@@ -146,6 +145,7 @@
 		case <-w.wake:
 		}
 		for ctx.Err() == nil {
+			w.e.journal.returnHome(ctx)
 			g := w.nextGroup()
 			if len(g.batches) == 0 && len(g.callbacks) == 0 {
 				break
@@ -318,37 +318,29 @@
 	return appendTimeout + time.Duration(store.Size(records...))*time.Second/slowLink
 }
 
-// append appends records to JobsTopic until the outcome is known. Without any, it makes no call: an
-// append without records doesn't take a sequence number.
+// append appends records to the journal until the outcome is known, in another partition if the
+// present one does not answer. Without any, it makes no call: an append without records doesn't take
+// a sequence number.
 func (w *writer) append(ctx context.Context, records []store.Record) outcome {
 	if len(records) == 0 {
 		return appended
 	}
 	began, first, refusals := w.e.SinceBoot(), true, 0
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, timeoutFor(records))
-		_, err := w.e.Store.Append(call, store.Append{
-			Topic: JobsTopic, Records: records, ExpectedEnd: -1, Producer: producer, Epoch: w.e.Lease.Token, Sequence: w.next,
-		})
-		cancel()
+	j := &w.e.journal
+	for ctx.Err() == nil && !j.ended {
+		err := j.send(ctx, j.at, records, timeoutFor(records))
 		var seq *store.SequenceError
 		switch {
-		// If the store expects the sequence number after this one, an earlier attempt was
-		// executed although it got no answer.
-		case err == nil, errors.As(err, &seq) && seq.Expected == w.next+1:
-			w.next++
-			w.e.Observe("append_seconds", w.e.SinceBoot()-began)
-			if !first {
-				w.e.Log.Info().Str("event", "store-regained").Dur("after", w.e.SinceBoot()-began).Int("records", len(records)).Msg("")
-			}
+		case err == nil:
+			w.noteAppended(records, began, first)
 
 			return appended
 		case errors.Is(err, store.ErrFenced):
 			w.e.loseLease("store")
 
 			return stopped
-		case seq != nil:
-			w.e.Log.Error().Str("event", "append-out-of-sequence").Int64("sent", w.next).Int64("want", seq.Expected).Msg("")
+		case errors.As(err, &seq):
+			w.e.Log.Error().Str("event", "append-out-of-sequence").Int64("sent", j.at.next).Int64("want", seq.Expected).Msg("")
 			w.e.loseLease("store")
 
 			return stopped
@@ -365,8 +357,22 @@
 			w.e.Log.Warn().Str("event", "store-lost").Err(err).Int("records", len(records)).Msg("")
 		}
 		first = false
+		if outcome, settled := j.move(ctx, records, w.e.SinceBoot()-began); settled {
+			return outcome
+		}
 		timer.Pause(ctx, appendPause)
 	}
 
 	return stopped
 }
+
+// noteAppended notes that records are durable in the journal.
+func (w *writer) noteAppended(records []store.Record, began time.Duration, first bool) {
+	j := &w.e.journal
+	j.at.next++
+	j.note(records)
+	w.e.Observe("append_seconds", w.e.SinceBoot()-began)
+	if !first {
+		w.e.Log.Info().Str("event", "store-regained").Dur("after", w.e.SinceBoot()-began).Int("records", len(records)).Msg("")
+	}
+}
--- a/internal/run/entry/compact_test.go
+++ b/internal/run/entry/compact_test.go
@@ -10,6 +10,23 @@
 	"sesameyoke/internal/run/lead"
 )
 
+// TestAllReadMoved guards against a move of the journal while a VM is known that would take over from the
+// partition before.
+func TestAllReadMoved(t *testing.T) {
+	now := time.Hour
+	e := New(Config{Address: "self", SinceBoot: func() time.Duration { return now }})
+	require.True(t, e.AllReadMoved())
+	for name, moved := range map[string]bool{
+		"b/1": false, "b/1" + lead.GrantMark: false, "b/1" + lead.CompactMark + lead.GrantMark: false,
+		"b/1" + lead.JournalMark + lead.CompactMark + lead.GrantMark: true,
+	} {
+		e.peers["b"] = peer{VM: planner.VM{Address: "b", Name: name}, lastSeen: now, lastHeartbeat: now}
+		require.Equal(t, moved, e.AllReadMoved(), name)
+	}
+	e.peers["b"] = peer{VM: planner.VM{Address: "b", Name: "b/1" + lead.JournalMark + lead.CompactMark + lead.GrantMark}, lastSeen: now}
+	require.True(t, e.AllReadCompact())
+}
+
 // TestAllReadCompact guards against records that a VM of an earlier version can't read, while one may
 // still become the planner: it would run the job again.
 func TestAllReadCompact(t *testing.T) {
--- a/internal/run/entry/peers.go
+++ b/internal/run/entry/peers.go
@@ -221,12 +221,21 @@
 
 // AllReadCompact reports whether all VMs that this one knows of have told that they read compact progress
 // records. A VM whose heartbeat has not arrived yet may be one of a version that doesn't.
-func (e *Entry) AllReadCompact() bool {
+func (e *Entry) AllReadCompact() bool { return e.allMarked(lead.CompactMark + lead.GrantMark) }
+
+// AllReadMoved reports whether all VMs that this one knows of have told that they read a journal in any
+// partition. A VM whose heartbeat has not arrived yet may be one of a version that doesn't.
+func (e *Entry) AllReadMoved() bool {
+	return e.allMarked(lead.JournalMark + lead.CompactMark + lead.GrantMark)
+}
+
+// allMarked reports whether the names of all other VMs that were seen recently end with a mark.
+func (e *Entry) allMarked(mark string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.SinceBoot()
 	for a, v := range e.peers {
-		if a != e.Address && now-v.lastSeen <= peerTTL && !strings.HasSuffix(v.Name, lead.CompactMark+lead.GrantMark) {
+		if a != e.Address && now-v.lastSeen <= peerTTL && !strings.HasSuffix(v.Name, mark) {
 			return false
 		}
 	}
