--- a/internal/core/journal/journal.go
+++ b/internal/core/journal/journal.go
@@ -48,17 +48,19 @@
 
 // Target returns the partition to which the journal is to move. It returns false if the journal
 // stays, and the reason if its partition does not answer. From another partition, the journal
-// returns to partition 0 in a calm time, so that the state is again one that all versions read.
+// returns to partition 0 in a calm time, so that the state is again one that all versions read; sooner
+// if a VM of an earlier version is known.
 func Target(s State) (part int, ok bool, why Reason) {
 	stalled := s.Stalled >= stallTime+s.Transfer
+	calm := s.Stalled == 0 && s.Part != 0 && (s.SinceMove >= homeDelay || !s.AllRead)
 	switch {
-	case s.Parts < 2 || (!stalled && (s.Stalled > 0 || s.Part == 0 || s.SinceMove < homeDelay)):
+	case s.Parts < 2 || (!stalled && !calm):
 		return s.Part, false, ""
 	case s.LeaseAge >= leaseFresh:
 		why = Lease
 	case s.SinceMove < moveBackoff:
 		why = Recent
-	case !s.AllRead:
+	case !s.AllRead && stalled:
 		why = Earlier
 	case s.Unreadable:
 		why = Unreadable
