--- a/internal/run/engine/journal.go
+++ b/internal/run/engine/journal.go
@@ -36,6 +36,7 @@
 		at       *partition // that of the journal; used by the writer only
 		parts    map[int]*partition
 		unclean  map[int]bool          // partitions that may hold records of an earlier journal
+		separate map[[2]int]bool       // pairs of partitions, the lower one first, that are known not to be the same log
 		changing sync.Mutex            // held while the journal in the lease record is being changed
 		records  map[string][]byte     // durable records of the journal; nil if it cannot be moved
 		bytes    int                   // size of these records
@@ -55,7 +56,8 @@
 
 func (j *journalState) init(e *Engine) {
 	j.e, j.at = e, &partition{}
-	j.parts, j.unclean, j.triedAt = map[int]*partition{0: j.at}, map[int]bool{}, map[int]time.Duration{}
+	j.parts, j.unclean, j.separate = map[int]*partition{0: j.at}, map[int]bool{}, map[[2]int]bool{}
+	j.triedAt = map[int]time.Duration{}
 }
 
 // takeOver selects the partition that the lease record names.
@@ -182,20 +184,70 @@
 	if err := j.appendTo(ctx, p, nil); err != nil {
 		return store.Page{}, errors.Wrap(err, "resolve the newest append")
 	}
+
+	return j.firstPage(ctx, p.number)
+}
+
+// firstPage returns the first page of the newest records in a partition.
+func (j *journalState) firstPage(ctx context.Context, number int) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	page, err := j.e.Store.Newest(ctx, JobsTopic, p.number, "")
+	page, err := j.e.Store.Newest(ctx, JobsTopic, number, "")
+
+	return page, errors.Wrapf(err, "read partition %d", number)
+}
 
-	return page, errors.Wrap(err, "read the partition")
+// compareParts finds out which partitions are logs of their own. A store that ignores the partition of
+// a call would have the journal itself deleted as records of an earlier one.
+func (j *journalState) compareParts(ctx context.Context) {
+	at := j.e.Lease.Journal().Part
+	for number := range min(j.e.JournalParts, journal.MaxParts) {
+		if number == at || j.isSeparate(at, number) {
+			continue
+		}
+		if separate, err := j.compare(ctx, at, number); err == nil && separate {
+			j.e.mu.Lock()
+			j.separate[pair(at, number)] = true
+			j.e.mu.Unlock()
+		}
+	}
 }
 
+// compare reports whether two partitions are certainly not the same log. The end of a log never
+// falls, so if they are the same, the end read of one lies between two that are read of the other.
+func (j *journalState) compare(ctx context.Context, at, number int) (bool, error) {
+	var ends []int64
+	for _, n := range []int{at, number, at} {
+		page, err := j.firstPage(ctx, n)
+		if err != nil {
+			return false, err
+		}
+		ends = append(ends, page.End)
+	}
+
+	return ends[1] < ends[0] || ends[1] > ends[2], nil
+}
+
+func (j *journalState) isSeparate(a, b int) bool {
+	j.e.mu.Lock()
+	defer j.e.mu.Unlock()
+
+	return j.separate[pair(a, b)]
+}
+
+func pair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
+
 // clean deletes old records until the context ends.
 func (j *journalState) clean(ctx context.Context) {
 	for ctx.Err() == nil {
+		j.compareParts(ctx)
 		j.e.mu.Lock()
 		unclean := slices.Sorted(maps.Keys(j.unclean))
 		j.e.mu.Unlock()
 		for _, number := range unclean {
+			if !j.isSeparate(j.e.Lease.Journal().Part, number) {
+				continue
+			}
 			timer.Pause(ctx, cleanInterval)
 			j.cleanPage(ctx, number)
 		}
--- a/internal/run/engine/journal_test.go
+++ b/internal/run/engine/journal_test.go
@@ -25,6 +25,7 @@
 // journalRig is a rig whose planners may move the journal.
 type journalRig struct {
 	*rig
+	same    bool   // the store ignores the partition of a call
 	earlier bool   // a VM of an earlier version is known
 	at      string // what happens at the next move: see hook
 	moves   int
@@ -54,7 +55,16 @@
 			r.hook("committed")
 		}
 	}
-	c.Store = &store.Store{Read: direct.Read, Newest: direct.Newest, Append: func(ctx context.Context, a store.Append) (int64, error) {
+	c.Store = &store.Store{Read: direct.Read, Newest: func(ctx context.Context, topic string, part int, after string) (store.Page, error) {
+		if r.same {
+			part = 0
+		}
+
+		return direct.Newest(ctx, topic, part, after)
+	}, Append: func(ctx context.Context, a store.Append) (int64, error) {
+		if r.same {
+			a.Part = 0
+		}
 		end, err := direct.Append(ctx, a)
 		if err == nil && a.Topic == engine.JobsTopic && a.Part != 0 && len(a.Records) > 0 {
 			r.hook("copied")
@@ -100,6 +110,10 @@
 	case "earlier":
 		r.earlier = d.CmdArgs[0].Key == "known"
 
+		return ""
+	case "same":
+		r.same = true
+
 		return ""
 	case "at":
 		r.at = d.CmdArgs[0].Key
--- a/internal/run/engine/move.go
+++ b/internal/run/engine/move.go
@@ -85,10 +85,16 @@
 	}
 	j.e.mu.Lock()
 	defer j.e.mu.Unlock()
+	unclean := maps.Clone(j.unclean)
+	for number := range min(j.e.JournalParts, journal.MaxParts) {
+		if !j.separate[pair(j.at.number, number)] {
+			unclean[number] = true
+		}
+	}
 
 	return journal.State{
 		Part: j.at.number, Parts: j.e.JournalParts, Stalled: stalled, Transfer: timeoutFor(records) - appendTimeout,
-		LeaseAge: j.e.Lease.Age(), SinceMove: now - j.movedAt, Unclean: maps.Clone(j.unclean), Tried: tried, AllRead: allRead,
+		LeaseAge: j.e.Lease.Age(), SinceMove: now - j.movedAt, Unclean: unclean, Tried: tried, AllRead: allRead,
 		Unreadable: len(j.e.unreadableJobs)+len(j.e.held) > 0, TooLarge: j.records == nil,
 	}
 }
