--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -52,16 +52,16 @@
 )
 
 type (
-	// Holder is the content of the lease record.
+	// Holder is the content of the lease record. encodeHolder tells its forms.
 	Holder struct {
-		_        struct{} `cbor:",toarray"`
-		Name     string   // of the VM, including its incarnation
-		Address  string   // at which other VMs call it
-		Token    int64    // fencing token
-		Renewal  int64    // number of renewals under this token
-		Released bool     // the holder has given up the lease
+		Name     string // of the VM, including its incarnation
+		Address  string // at which other VMs call it
+		Token    int64  // fencing token
+		Renewal  int64  // number of renewals under this token
+		Released bool   // the holder has given up the lease
 
 		MarkedSince int64 // the names of all holders from this token on have had GrantMark; 0 if that is not known
+		Journal     Journal
 	}
 
 	// LeaseStatus is the planner's answer to a heartbeat: the state of its lease.
@@ -361,7 +361,7 @@
 	if leaving || (!mine && !e.free()) {
 		return nil
 	}
-	next := Holder{Name: e.Name, Address: e.Address, Token: token, MarkedSince: since}
+	next := Holder{Name: e.Name, Address: e.Address, Token: token, MarkedSince: since, Journal: h.Journal}
 	sent := e.SinceBoot()
 	newEnd, err := e.append(ctx, next, end, 1)
 	if err != nil {
@@ -369,7 +369,7 @@
 
 		return nil
 	}
-	l := &Lease{Token: next.Token, sinceBoot: e.SinceBoot}
+	l := &Lease{Token: next.Token, sinceBoot: e.SinceBoot, wake: e.CheckNow, journal: next.Journal}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.extend(sent, e.LeaseValidity, next.Renewal)
 	e.mu.Lock()
--- a/internal/run/lead/unreadable_test.go
+++ b/internal/run/lead/unreadable_test.go
@@ -25,7 +25,7 @@
 // and with a token that workers and store reject. Once the record isn't renewed, the VM plans with a
 // token above all others.
 func TestUnreadableLease(t *testing.T) {
-	for name, before := range map[string]*lead.Holder{
+	for name, before := range map[string]*earlierHolder{
 		"first read": nil, "after another": {Name: "b/1" + lead.GrantMark, Token: 41}, "after a released one": {Name: "b/1" + lead.GrantMark, Token: 41, Released: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -34,7 +34,7 @@
 	}
 }
 
-func runUnreadableLease(t *testing.T, before *lead.Holder) {
+func runUnreadableLease(t *testing.T, before *earlierHolder) {
 	st := fleet.NewStore(func() float64 { return 1 })
 	boot := time.Now().Add(-time.Hour)
 	planned := make(chan int64, 10)
