--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -16,6 +16,9 @@
 	// failed. Callers expect it to run again within 6 s of its last run, however much of the capacity
 	// is in use. Its job collects such workers until it is cancelled.
 	maxAvoidance = 3 * time.Second
+	// An overdue step on its last attempt excludes failing workers for this much longer: when many
+	// runs end at the same time, these workers are free a moment before the others are.
+	excludeDelay = 500 * time.Millisecond
 	// Interval between assessments of whether an idle step is overdue.
 	overdueInterval = 250 * time.Millisecond
 )
@@ -27,6 +30,8 @@
 	loggedAt   time.Duration
 	overdue    bool          // see placement.IsOverdue
 	assessedAt time.Duration // when it was last assessed whether it is overdue
+
+	notOverdueAt time.Duration // when it was last known not to be overdue
 }
 
 // noteIdle records since when the candidates' steps wait while their jobs have no runs. Each
@@ -67,12 +72,15 @@
 	}
 	idle := now - s.since
 	if !placement.MayBeOverdue(idle, f.usedShare(c.unit.Service)) {
-		s.overdue = false
+		s.overdue, s.notOverdueAt = false, now
 	} else if now >= s.assessedAt+overdueInterval {
 		shortage := placement.Explain(f.workers, &c.unit)
 		s.overdue, s.assessedAt = placement.IsOverdue(&c.unit, &shortage, idle), now
 	}
 	c.unit.Overdue = s.overdue
+	if s.overdue && now >= s.notOverdueAt+excludeDelay {
+		c.unit.Exclude = nil
+	}
 }
 
 func (c *candidate) stepKey() stepKey { return stepKey{c.job, occurStep{c.occur, c.step}} }
