--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -72,8 +72,8 @@
 }
 
 // OrderByCost returns the indexes of units in the order of their placement in a shortage. It
-// answers a load in which all queues together need more than the workers have: by rank as
-// always, then those first whose delay costs most for what they need, then by priority and
+// answers a load in which all queues together need more than the workers have: by rank and
+// priority as always, then those first whose delay costs most for what they need, then by
 // acceptance. An aged unit comes before all later units of its queue that have its rank.
 func OrderByCost(units []Waiting) []int {
 	costs := make([]float64, len(units))
@@ -85,8 +85,8 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(units[a].rank(), units[b].rank()),
-			cmp.Compare(costs[b], costs[a]),
 			cmp.Compare(units[a].Priority, units[b].Priority),
+			cmp.Compare(costs[b], costs[a]),
 			cmp.Compare(units[a].Accepted, units[b].Accepted),
 		)
 	})
--- a/internal/core/placement/shed.go
+++ b/internal/core/placement/shed.go
@@ -35,7 +35,9 @@
 		return true
 	}
 
-	return s.OnTime() && s.Cost() > 0 && s.density() >= u.density() && s.slack(1) >= u.slack(1) && s.slack(lateFactor) >= u.slack(lateFactor)
+	first := s.Priority < u.Priority || (s.Priority == u.Priority && s.Cost() > 0 && s.density() >= u.density())
+
+	return first && s.OnTime() && s.slack(1) >= u.slack(1) && s.slack(lateFactor) >= u.slack(lateFactor)
 }
 
 // slack returns how long the unit may wait so that its job ends within a multiple of its objective.
