A single legal head of many lines is served

Heads of more than 256 short lines are legal below 16 KB, but take 30 times their size in memory. As many connections as have room in the memory for bodies may hold one at a time, at least one; before, all were refused.

--- a/internal/peer/limit/body.go
+++ b/internal/peer/limit/body.go
@@ -36,12 +36,12 @@
 // end is not read from the client either.
 func (s *Server) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if lines(r.Header) > headLines {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && lines(r.Header) > headLines && !c.mayHoldLongHead() {
 			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 
 			return
 		}
-		c, ok := r.Context().Value(connKey{}).(*conn)
 		if !ok || r.Body == nil || r.Body == http.NoBody {
 			if ok {
 				s.enter(c, answering)
--- a/internal/peer/limit/conn.go
+++ b/internal/peer/limit/conn.go
@@ -41,6 +41,7 @@
 		phase  phase
 		paid   time.Time // until when the bytes that have arrived suffice at minRate; of an idle connection, since when it is idle
 		lines  int       // of the head so far
+		long   bool      // counts among Server.long until the next head or the end of the connection
 		body   *body     // being read; nil if there is none
 	}
 
@@ -140,6 +141,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.phase, c.paid, c.lines = p, s.Now(), 0
+	if p == idle {
+		c.endHead()
+	}
 }
 
 // Read reads from the client. It fails if the head has too many lines.
@@ -153,12 +157,43 @@
 	return n, err
 }
 
-// tooManyLines doesn't count the lines of the newest read, which may belong to the body.
+// tooManyLines reports whether the head has more than headLines lines, and too many others have,
+// too. It doesn't count the lines of the newest read, which may belong to the body.
 func (c *conn) tooManyLines() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 
-	return c.phase == readingHead && c.lines > headLines
+	return c.phase == readingHead && c.lines > headLines && !c.takeLongHead()
+}
+
+// takeLongHead reports whether the connection may hold a head of more than headLines. The lock is held.
+func (c *conn) takeLongHead() bool {
+	if !c.long && c.server.long < c.server.longHeads() {
+		c.long = true
+		c.server.long++
+	}
+
+	return c.long
+}
+
+// mayHoldLongHead is takeLongHead for callers that do not hold the lock.
+func (c *conn) mayHoldLongHead() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+
+	return c.takeLongHead()
+}
+
+// longHeads returns how many connections may hold a head of more than headLines at a time: as many as
+// fit in the memory for bodies, one at least.
+func (s *Server) longHeads() int { return max(1, int(s.BodyBudget/longHeadBytes)) }
+
+// endHead notes that the connection no longer holds its head. The lock is held.
+func (c *conn) endHead() {
+	if c.long {
+		c.long = false
+		c.server.long--
+	}
 }
 
 // progress credits the client with the bytes that have arrived.
@@ -200,6 +235,7 @@
 func (c *conn) Close() error {
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
+	c.endHead()
 	c.server.mu.Unlock()
 
 	return c.Conn.Close()
--- a/internal/peer/limit/limit.go
+++ b/internal/peer/limit/limit.go
@@ -23,7 +23,8 @@
 	freeBodyBytes    = 16 << 10  // the first bytes of a body need no share of the budget
 	bodyCopies       = 2         // io.ReadAll holds the old and the new buffer while it grows
 	headBytes        = 16 << 10  // of the largest legal head
-	headLines        = 256       // short lines take about 30 times their size in the map of headers
+	headLines        = 256       // lines of an ordinary head
+	longHeadBytes    = 640 << 10 // memory of the largest legal head with more lines: short ones take about 30 times their size in the map of headers
 	reservedFDs      = 200       // for files
 	connectionFDs    = 4         // listeners and outgoing connections get three quarters of the other descriptors
 	minConnections   = 16        // also with less memory
@@ -59,6 +60,7 @@
 		mu       sync.Mutex
 		conns    map[*conn]bool
 		reserved int64         // bytes of BodyBudget in use
+		long     int           // connections that hold a head of more than headLines
 		freed    chan struct{} // closed and replaced when a share is returned
 		logged   time.Time
 	}
