Review: late copies of starts, released members, long-running tasks, ended runs

A start that was sent twice may be executed by a later incarnation although one copy was answered: the task then ran twice. After a restart, such a run is stopped there like one whose start got no answer (script resend/restarted, which fails without the change: run 2 was active on another worker). A member that was released while its start waited to be sent is neither released again nor started. Long-running tasks have no last attempt. A job whose run has ended has begun, also if the answer to the start is late. Run times kept for comparison are dropped with their occurrence, unanswered starts once they can't be executed any more.

--- a/internal/core/placement/lasting.go
+++ b/internal/core/placement/lasting.go
@@ -49,12 +49,15 @@
 		return nil
 	}
 	var runs []Run
-	left := maps.Clone(s)
+	left, cloned := s, false
 	for i := range w.Lasting {
 		r := &w.Lasting[i]
 		if selected[r.Group] || !u.canEvict(&r.Run) || !left.allow(r) {
 			continue
 		}
+		if !cloned {
+			left, cloned = maps.Clone(s), true
+		}
 		left[r.Step] += r.Tasks
 		runs = append(runs, r.Run)
 	}
--- a/internal/run/engine/evacuation.go
+++ b/internal/run/engine/evacuation.go
@@ -46,7 +46,7 @@
 func (e *Engine) mayStillStart(m *member) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if m.unit.aborted || !e.mayStart(m) {
+	if m.phase != starting || m.unit.aborted || !e.mayStart(m) {
 		return false
 	}
 
--- a/internal/run/engine/failing.go
+++ b/internal/run/engine/failing.go
@@ -122,6 +122,9 @@
 
 // isLastAttempt reports whether one more failure of a task fails its job.
 func (e *Engine) isLastAttempt(j *job, occur, step, index int) bool {
+	if j.Steps[step].LongRunning {
+		return false // its tasks start again however often they fail
+	}
 	attempts := e.queuePolicy(j.Queue).Attempts
 	fails := j.Occurs[occur].Steps[step][index].Failures
 
--- a/internal/run/engine/late.go
+++ b/internal/run/engine/late.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/target"
 )
@@ -12,11 +14,29 @@
 		return
 	}
 	m.unit.job.begun = true
-	e.unansweredStarts[m.worker.ID] = append(e.unansweredStarts[m.worker.ID], unansweredStart{
+	now := e.SinceBoot()
+	kept := slices.DeleteFunc(e.unansweredStarts[m.worker.ID], func(s unansweredStart) bool { return now > s.until })
+	e.unansweredStarts[m.worker.ID] = append(kept, unansweredStart{
 		run: target.Run{Task: m.task(), Run: m.unit.run}, until: e.SinceBoot() + e.Timing.LateOrderWindow,
 	})
 }
 
+// mayStartAgain reports whether an unanswered copy of a member's start may still be executed, although
+// another copy was answered.
+func (e *Engine) mayStartAgain(m *member) bool {
+	if m.phase == planned || m.phase == starting {
+		return false
+	}
+	run := target.Run{Task: m.task(), Run: m.unit.run}
+	for _, start := range e.unansweredStarts[m.worker.ID] {
+		if start.run.Task == run.Task && start.run.Run == run.Run && e.SinceBoot() <= start.until {
+			return true
+		}
+	}
+
+	return false
+}
+
 // stopUnansweredStarts sends stops for the remembered starts to a worker's new incarnation.
 func (e *Engine) stopUnansweredStarts(w *worker) {
 	kept := e.unansweredStarts[w.ID][:0]
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -330,8 +330,9 @@
 		// An unanswered start may still reach the new incarnation. Only a stop that this
 		// incarnation answers rules that out. For all other runs, its report shows whether
 		// they have ended.
-		if m.phase == unconfirmed && !m.inherited {
-			m.answeredAt, m.stopInFlight = 0, false
+		if (m.phase == unconfirmed || e.mayStartAgain(m)) && !m.inherited {
+			m.phase, m.answeredAt, m.stopInFlight = unconfirmed, 0, false
+			e.abort(m.unit, "worker restarted")
 			e.sendStop(m)
 		}
 	}
@@ -358,6 +359,7 @@
 				e.release(m)
 			}
 		case m != nil:
+			m.unit.job.begun = true // the answer to its start may be late or lost
 			e.handleEnd(m, end.How, end.Saved)
 		default:
 			e.handleLateEnd(w, end)
--- a/internal/run/engine/startretry_test.go
+++ b/internal/run/engine/startretry_test.go
@@ -22,8 +22,9 @@
 // startLoss leaves the first attempts at each start unanswered. They are executed later.
 type startLoss struct {
 	mu       sync.Mutex
-	lost     int  // number of these attempts
-	mute     bool // workers answer no queries for their runs either
+	lost     int           // number of these attempts
+	after    time.Duration // how long after they were sent
+	mute     bool          // workers answer no queries for their runs either
 	attempts map[target.Run]int
 	last     map[target.Run]time.Time // when the newest attempt was made
 	first    map[target.Run]time.Time
@@ -37,7 +38,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := newEvacuationRig(t)
 			defer r.stop()
-			s := &startLoss{attempts: map[target.Run]int{}, first: map[target.Run]time.Time{}, last: map[target.Run]time.Time{}}
+			s := &startLoss{after: lateAfter, attempts: map[target.Run]int{}, first: map[target.Run]time.Time{}, last: map[target.Run]time.Time{}}
 			configure := r.mutation.config
 			r.mutation.config = func(c *engine.Config) {
 				configure(c)
@@ -51,6 +52,9 @@
 					defer s.mu.Unlock()
 					d.MaybeScanArgs(t, "attempts", &s.lost)
 					s.mute = d.HasArg("mute")
+					if d.HasArg("late") {
+						s.after = 8 * time.Second
+					}
 
 					return ""
 				case "attempts":
@@ -72,7 +76,7 @@
 		if !s.loses(order) {
 			return c.Start(ctx, a, order)
 		}
-		time.AfterFunc(lateAfter, func() {
+		time.AfterFunc(s.after, func() {
 			late, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			_, _ = c.Start(late, a, order) // nobody waits for the answer
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -91,6 +91,7 @@
 		e.noteStart(m.worker, a)
 	}
 	switch {
+	case a.unsent && m.phase != starting: // it has been released meanwhile
 	case a.unsent:
 		m.phase = planned
 		if m.unit.aborted {
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -251,6 +251,9 @@
 		return
 	}
 	o.Ended = true
+	for step := range j.Steps {
+		delete(j.doneRuns, occurStep{occur, step})
+	}
 	if j.Times > 0 {
 		o.Steps = nil
 	}
