Review: limits on clients

A request whose body the handler does not read counts as being answered, so that its connection is not closed for a new one. A client that sends its body in pieces gets time to read a refusal. One body may exceed the shared budget, so that a configuration with larger bodies works.

--- a/internal/peer/limit/body.go
+++ b/internal/peer/limit/body.go
@@ -24,6 +24,7 @@
 	server   *Server
 	conn     *conn
 	length   int64 // declared by the client; negative if it is not known
+	started  bool  // the handler reads it
 	read     int64
 	covered  int64 // bytes that may be read with the shares so far
 	reserved int64
@@ -69,7 +70,7 @@
 
 func (b *body) begin() {
 	s := b.server
-	s.enter(b.conn, readingBody)
+	s.enter(b.conn, answering) // a handler that reads no body answers at once
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b.conn.body = b
@@ -87,17 +88,17 @@
 	if !b.complete { // it can be closed for another one while the server waits for the rest
 		b.conn.phase, b.conn.paid = readingBody, b.server.Now()
 	}
-	switch {
-	case b.complete:
-	case b.closed:
+	if !b.complete { // without time for the rest, the client's writes would fail before it reads the answer
 		_ = b.conn.SetReadDeadline(time.Now().Add(drainTimeout)) // fails on a closed connection only
-	default:
-		_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // as above
 	}
 }
 
 // Read reads from the body. It waits for a share of the budget if it needs one.
 func (b *body) Read(p []byte) (int, error) {
+	if !b.started {
+		b.started = true
+		b.server.enter(b.conn, readingBody)
+	}
 	if b.read >= b.covered && b.server.BodyBudget > 0 {
 		if err := b.reserve(); err != nil {
 			return 0, err
@@ -172,7 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	if s.reserved+bodyCopies*size <= s.BodyBudget || s.reserved == 0 {
+	if s.reserved+bodyCopies*size <= s.BodyBudget || s.reserved == b.reserved { // one body may exceed the budget
 		s.reserved += bodyCopies * size
 		b.reserved += bodyCopies * size
 		b.covered += max(size, 1)
--- a/internal/peer/limit/conn.go
+++ b/internal/peer/limit/conn.go
@@ -231,6 +231,16 @@
 	return c.Conn.Write(b)
 }
 
+// CloseWrite lets the server end its side of the connection before it closes it, so that the client
+// can read the answer to a request whose body was refused.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+
+	return nil
+}
+
 // Close closes the connection and makes room for another one.
 func (c *conn) Close() error {
 	c.server.mu.Lock()
