--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -48,7 +48,6 @@
 		RecordBytes: v.settings.RecordBytes, RequestBytes: v.settings.RequestBytes, KeptBytes: v.keptBytes(), MaxCalls: max(minCalls, int(callsPerCore*v.settings.Cores)), SchedulingDelay: v.lag.Max,
 		SinceBoot: sinceBoot, Now: time.Now, Log: v.log, Count: v.count, Observe: v.metrics.Time,
 		Discover: d.Changes, AllReadCompact: v.entry.AllReadCompact,
-		JournalParts: v.settings.Parts, AllReadMoved: v.entry.AllReadLease,
 		Advise: platform.NewPlacementAdvisor(v.settings.PlacementService, t),
 	}
 	if v.evac != nil {
--- a/internal/run/lead/lead.go
+++ b/internal/run/lead/lead.go
@@ -40,6 +40,10 @@
 	// Holder.Released.
 	HolderMark = "/h"
 
+	// One renewal in so many has the form that VMs of all versions read: a VM of an earlier version that
+	// starts later learns of the planner by it, and the planner of that VM by its heartbeat.
+	firstFormInterval = 5
+
 	renewRetryInterval = 100 * time.Millisecond // a renewal that gets no answer is resent at this interval
 	renewAttempts      = 6                      // maximum number of copies sent of one renewal
 )
@@ -417,7 +421,8 @@
 // append writes the lease record on condition that the topic still ends at offset at. It
 // sends up to tries copies while no answer arrives.
 func (e *Elector) append(ctx context.Context, h Holder, at int64, tries int) (int64, error) {
-	b, err := encodeHolder(h, e.AllReadFields == nil || e.AllReadFields())
+	allRead := e.AllReadFields == nil || e.AllReadFields()
+	b, err := encodeHolder(h, allRead && h.Renewal%firstFormInterval != firstFormInterval-1)
 	if err != nil {
 		return 0, err
 	}
