Order in a shortage from 2 s of waiting work on; moves by class in uneven fleets only

The order by cost now begins when the waiting work would take all accelerators 2 s, and a move must bring the job into a better class only where the fleet is uneven.

--- a/internal/run/engine/progress.go
+++ b/internal/run/engine/progress.go
@@ -275,7 +275,9 @@
 	if m.worker.Draining {
 		r.LeavesIn = max(0, m.worker.staysUntil-now)
 	}
-	e.addObjective(&r, u)
+	if e.fleetSpeed.Uneven {
+		e.addObjective(&r, u)
+	}
 
 	return r.ShouldMove()
 }
--- a/internal/run/engine/shortage.go
+++ b/internal/run/engine/shortage.go
@@ -14,6 +14,9 @@
 	// A service counts as short of capacity until a pass is this long after the last one in which a
 	// unit that could still meet its objective did not fit.
 	shortageHold = 500 * time.Millisecond
+	// The work that waits must take all accelerators this long. Less is worked off within the slack of
+	// most jobs, and an order by cost then only stops more runs.
+	shortageWait = 2 * time.Second
 )
 
 type (
@@ -181,7 +184,10 @@
 
 // switchShortage logs the beginning and the end of a shortage.
 func (e *Engine) switchShortage(service string, s *shortage, now time.Duration) {
-	on := now < s.seenAt+shortageHold
+	if s.wait < shortageWait {
+		s.seenAt = 0
+	}
+	on := s.seenAt > 0 && now < s.seenAt+shortageHold
 	if on == s.on {
 		return
 	}
