--- a/internal/core/straggler/backoff.go
+++ b/internal/core/straggler/backoff.go
@@ -63,6 +63,6 @@
 }
 
 // MayWait reports whether the wait of the task is still within its bound. Until then, it does not
-// start on workers that seem to fail every run, even if it is overdue: the capacity beside which
-// it is overdue may be theirs.
+// start on workers that have failed since their newest good start, even if it is overdue: the
+// capacity beside which it is overdue may be theirs.
 func (a LastAttempt) MayWait() bool { return a.Waited < max(lastAttemptWait, a.Objective) }
--- a/internal/core/straggler/record.go
+++ b/internal/core/straggler/record.go
@@ -8,8 +8,7 @@
 	// fail every run within 30 ms.
 	LivedLong = time.Second
 
-	suspectJobs    = 2                       // jobs in turn that have failed quickly from which their failures count, also if they have failed elsewhere
-	failingJobs    = 3                       // the same from which the worker is taken to fail every run
+	maxDoubts      = 2                       // jobs in turn that have failed elsewhere too from which their failures count
 	barThreshold   = 2                       // consecutive failures from which a worker is barred
 	barBase        = 2500 * time.Millisecond // how long a worker is barred at first; doubled with each further failure
 	barMax         = 8 * time.Second         // maximum time for which a worker is barred
@@ -29,8 +28,8 @@
 	barredUntil time.Duration
 	goodStart   time.Duration // when the newest run that lived for LivedLong or was done was accepted; 0 if there is none
 	anyFailure  time.Duration // newest failure of a run of any job; 0 if there is none
-	jobs        int           // jobs in turn of which a run failed sooner than LivedLong, since the newest good start
-	lastJob     string        // the newest of them
+	doubts      int           // jobs in turn whose runs ended as quickly since the newest good start, but have failed on other workers too
+	doubtJob    string        // the newest of them
 }
 
 // Accepted records that a run that was accepted at the given time has lived for LivedLong or is
@@ -39,7 +38,7 @@
 func (r *FailureRecord) Accepted(at time.Duration) {
 	r.goodStart = max(r.goodStart, at)
 	if at >= r.anyFailure {
-		r.jobs, r.lastJob = 0, ""
+		r.doubts, r.doubtJob = 0, ""
 	}
 	if at >= r.lastFailure {
 		r.failures, r.lastFailure, r.quick, r.barredUntil = 0, 0, false, 0
@@ -54,11 +53,11 @@
 func (r *FailureRecord) Fail(now, lived time.Duration, job string, elsewhere bool) bool {
 	r.anyFailure = now
 	quick := lived < LivedLong
-	if quick && job != r.lastJob {
-		r.jobs++
-		r.lastJob = job
+	if elsewhere && quick && job != r.doubtJob {
+		r.doubts++
+		r.doubtJob = job
 	}
-	if elsewhere && (!quick || (!r.quick && r.jobs < suspectJobs)) {
+	if elsewhere && (!quick || (!r.quick && r.doubts < maxDoubts)) {
 		return false
 	}
 	before := r.quick
@@ -86,10 +85,10 @@
 	return r.goodStart > 0 && (r.anyFailure == 0 || r.goodStart >= r.anyFailure)
 }
 
-// FailsAll reports whether the worker seems to fail every run: several jobs in turn have failed there
-// quickly, and no run that it accepted since has proved sound.
-func (r *FailureRecord) FailsAll(now time.Duration) bool {
-	return r.jobs >= failingJobs && now-r.anyFailure < probation
+// FailedSince reports whether a run of any job has failed on the worker recently, and none that it
+// accepted later has proved sound.
+func (r *FailureRecord) FailedSince(now time.Duration) bool {
+	return r.anyFailure > r.goodStart && now-r.anyFailure < probation
 }
 
 // suspect reports whether the newest evidence about the worker is a run that failed at once.
--- a/internal/run/engine/failing.go
+++ b/internal/run/engine/failing.go
@@ -133,7 +133,7 @@
 
 // avoidUnproven excludes workers from the placement of a candidate on its last attempt unless they
 // have accepted a run that proved sound, and failed none since. If it is overdue, it may start on
-// others, but not on those that seem to fail every run.
+// workers without evidence.
 func (e *Engine) avoidUnproven(c *candidate, f *fleetSnapshot) {
 	now := e.SinceBoot()
 	unproven, failing := map[int]bool{}, map[int]bool{}
@@ -141,7 +141,7 @@
 		if !e.workers[name].failures.Proven() {
 			unproven[i] = true
 		}
-		if e.workers[name].failures.FailsAll(now) {
+		if e.workers[name].failures.FailedSince(now) {
 			failing[i] = true
 		}
 	}
