Logs tell to which incarnation of a worker an acknowledgement went

The logs held neither the numbers of ends nor the incarnation, so the hypotheses of docs/incidents/2026-12-ackcursor.md could not be told apart. run-ended names both; ack-uncertain, run-missing and ends-missing show an incarnation that has forgotten ends which the planner has not read. No logic changes.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -148,6 +148,7 @@
 		w.settleOrder(to.incarnation)
 	}
 	e.noteOutcome(w, err, sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline})
+	e.logAck(w, to, renewal, r, err)
 	if err == nil {
 		e.contain("report", w.ID, func() { e.handleReport(w, renewal, r, sent) })
 
@@ -246,7 +247,7 @@
 		if m.phase == starting {
 			e.recordUnansweredStart(m)
 		}
-		e.handleEnd(m, how, "")
+		e.handleEnd(m, target.End{How: how})
 	}
 }
 
@@ -295,7 +296,8 @@
 func (e *Engine) endOmitted(w *worker, inReport map[*member]bool, sent time.Duration) {
 	for _, m := range w.members() {
 		if !inReport[m] && m.phase != planned && m.phase != starting && m.answeredAt != 0 && sent > m.answeredAt {
-			e.handleEnd(m, target.LeaseExpired, "")
+			e.logMissing(m)
+			e.handleEnd(m, target.End{How: target.LeaseExpired})
 		}
 	}
 }
@@ -343,6 +345,7 @@
 // worker once everything up to them is durable.
 func (e *Engine) recordEnds(w *worker, ends []target.End, inReport map[*member]bool) {
 	highest := w.seenEnd
+	e.logGap(w, ends)
 	for _, end := range ends {
 		m := w.findRun(end.Task, end.Run)
 		if m != nil {
@@ -360,7 +363,7 @@
 			}
 		case m != nil:
 			m.unit.job.begun = true // the answer to its start may be late or lost
-			e.handleEnd(m, end.How, end.Saved)
+			e.handleEnd(m, end)
 		default:
 			e.handleLateEnd(w, end)
 		}
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -296,14 +296,15 @@
 }
 
 // handleEnd records the end of a member's run and, unless the run succeeded, aborts
-// the rest of its gang.
-func (e *Engine) handleEnd(m *member, how target.How, checkpoint string) {
-	u := m.unit
-	if checkpoint != "" {
-		m.checkpoint, m.checkpointAt = checkpoint, e.SinceBoot()
+// the rest of its gang. An end that no report lists has no number.
+func (e *Engine) handleEnd(m *member, end target.End) {
+	u, how := m.unit, end.How
+	if end.Saved != "" {
+		m.checkpoint, m.checkpointAt = end.Saved, e.SinceBoot()
 	}
 	e.Log.Info().Str("event", "run-ended").Str("id", u.job.ID).Str("unit", u.name).Int("task", m.index).
-		Int64("run", u.run).Str("how", string(how)).Str("worker", m.worker.ID).Dur("age", e.SinceBoot()-u.began).Msg("")
+		Int64("run", u.run).Str("how", string(how)).Str("worker", m.worker.ID).
+		Int64("born", m.worker.Incarnation).Int64("number", end.Number).Dur("age", e.SinceBoot()-u.began).Msg("")
 	e.Count("ends_"+string(how), 1)
 	e.recordOutcome(m, how)
 	switch how {
