Failing test: a renewal with the numbers of an earlier incarnation

Emulated workers carry renewals out as real ones do: a restart drops the calls that a worker holds, some of them without a reset; the cursor of a held call counts for the ends that come meanwhile; on request a renewal gets no answer and is carried out 2 to 12 s later, also by the next incarnation.

--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -104,7 +104,7 @@
 
 		return 0, errors.Wrap(target.ErrUnknown, "reply lost")
 	}
-	after := 2*time.Second + time.Duration(f.Random()*float64(10*time.Second))
+	after := minLateness + time.Duration(f.Random()*float64(maxLateness-minLateness))
 	incarnation := w.Incarnation
 	f.mu.Unlock()
 	go func() {
@@ -195,15 +195,57 @@
 	if err != nil {
 		return target.Report{}, err
 	}
+	f.mu.Lock()
+	late, lost := f.lateRenewalShare > 0 && f.Random() < f.lateRenewalShare, f.lostRenewalShare > 0 && f.Random() < f.lostRenewalShare
+	incarnation := w.Incarnation
+	f.mu.Unlock()
+	if late {
+		go f.renewLate(w, incarnation, l)
+		<-ctx.Done()
+
+		return target.Report{}, errors.Wrap(target.ErrUnknown, "no reply")
+	}
+	r, err := f.holdRenewal(ctx, w, l)
+	if lost {
+		<-ctx.Done()
+
+		return target.Report{}, errors.Wrap(target.ErrUnknown, "reply lost")
+	}
+
+	return r, err
+}
+
+// renewLate carries a lease renewal out seconds after it was sent. Nobody receives the answer.
+func (f *Fleet) renewLate(w *Worker, incarnation int64, l target.LeaseRenewal) {
+	time.Sleep(f.lateness())
+	f.mu.Lock()
+	reaches := w.up && (w.Incarnation == incarnation || f.CrossIncarnations)
+	f.mu.Unlock()
+	if reaches {
+		ctx, cancel := context.WithTimeout(context.Background(), l.Wait+time.Second)
+		defer cancel()
+		_, _ = f.holdRenewal(ctx, w, l) // the caller has given up waiting
+	}
+}
+
+// holdRenewal carries a lease renewal out and delays the answer until there is an end to report, at most
+// for the wait of the renewal. The cursor acknowledges also the ends that come in that time. A worker
+// that starts again drops the calls that it holds: half of them are reset, the others get no answer.
+func (f *Fleet) holdRenewal(ctx context.Context, w *Worker, l target.LeaseRenewal) (target.Report, error) {
 	until := time.Now().Add(l.Wait)
+	incarnation := int64(0)
 	for first := true; ; first = false {
 		f.mu.Lock()
 		if first {
-			f.advance() // while renewLease waits, Run advances the workers
+			f.advance() // while a call is held, Run advances the workers
+			incarnation = w.Incarnation
 		}
-		if !w.up || w.cutOff {
+		if !w.up || w.cutOff || w.Incarnation != incarnation {
+			reset := w.Incarnation != incarnation && f.Random() < resetShare
 			f.mu.Unlock()
-			<-ctx.Done()
+			if !reset {
+				<-ctx.Done()
+			}
 
 			return target.Report{}, errors.Wrap(target.ErrUnknown, "no reply")
 		}
@@ -214,11 +256,11 @@
 		}
 		if first {
 			w.token = l.Token
-			w.ack(l.Acked, &f.Journal)
 			if l.Deadline > 0 {
 				w.extendLease(l.Deadline)
 			}
 		}
+		w.ack(l.Acked, &f.Journal)
 		if len(w.unackedEnds) > 0 || time.Now().After(until) || l.Wait == 0 {
 			r := f.report(w)
 			f.mu.Unlock()
@@ -232,6 +274,14 @@
 	}
 }
 
+// lateness returns how long after it was sent an order is carried out late.
+func (f *Fleet) lateness() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return minLateness + time.Duration(f.Random()*float64(maxLateness-minLateness))
+}
+
 // ack drops the ends up to number n, which the planner has acknowledged.
 func (w *Worker) ack(n int64, j *Journal) {
 	w.unackedEnds = slices.DeleteFunc(w.unackedEnds, func(e target.End) bool {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -21,6 +21,10 @@
 	killGrace     = 300 * time.Millisecond // from a stop until the run ends
 	gangTimeout   = 3 * time.Second        // how long a run waits for the rest of its gang
 	endsPerReport = 20                     // small, so that tests cover ends that take several reports
+
+	minLateness = 2 * time.Second  // from an order without an answer until it is carried out late
+	maxLateness = 12 * time.Second // the same
+	resetShare  = 0.5              // share of the held calls that a restart resets; the others get no answer
 )
 
 type (
@@ -45,16 +49,17 @@
 		// order. They are visible at once if it is nil.
 		ListLag func() time.Duration
 
-		mu          sync.Mutex
-		hosts       hosts
-		workers     map[string]*Worker
-		present     map[gangKey]int                            // active members by gang; nil outside advance
-		changes     []listChange                               // log of the changed entries of the list, in order
-		lateShare   float64                                    // share of the orders that get no reply and are executed later
-		lostShare   float64                                    // share of the orders that are executed but get no reply
-		deadly      func(task work.Task) (time.Duration, bool) // see SetDeadly; nil for no such tasks
-		newIDs      bool                                       // see SetDeadly
-		phantomRuns map[string][]target.Run                    // runs that a worker reports but does not have, by worker
+		mu                                 sync.Mutex
+		hosts                              hosts
+		workers                            map[string]*Worker
+		present                            map[gangKey]int                            // active members by gang; nil outside advance
+		changes                            []listChange                               // log of the changed entries of the list, in order
+		lateShare                          float64                                    // share of the orders that get no reply and are executed later
+		lostShare                          float64                                    // share of the orders that are executed but get no reply
+		lateRenewalShare, lostRenewalShare float64                                    // the same for lease renewals
+		deadly                             func(task work.Task) (time.Duration, bool) // see SetDeadly; nil for no such tasks
+		newIDs                             bool                                       // see SetDeadly
+		phantomRuns                        map[string][]target.Run                    // runs that a worker reports but does not have, by worker
 	}
 
 	// listChange is one changed entry of the list of workers.
@@ -249,6 +254,13 @@
 	f.lateShare, f.lostShare = lateShare, lostShare
 }
 
+// SetRenewalFaults is like SetOrderFaults for lease renewals.
+func (f *Fleet) SetRenewalFaults(lateShare, lostShare float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateRenewalShare, f.lostRenewalShare = lateShare, lostShare
+}
+
 // Discover returns a function that returns the changes of the list of workers since its
 // previous call, and the whole list on its first call.
 func (f *Fleet) Discover() func(ctx context.Context) (engine.Listing, error) {
