A clock value before a worker's first report is compared with no other

A stop of an ended job may be answered before the worker's first report under this planner. The planner compared its clock with an estimate that began at 0 when the VM booted, took the worker for restarted and counted its lease as valid for the longest time, 10.5 s, instead of 6 s. If the worker is lost in that time, its tasks wait that much longer.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -308,7 +308,7 @@
 func (e *Engine) readClock(w *worker, clock int64, order sentOrder) {
 	now := e.SinceBoot()
 	switch {
-	case clock <= 0 || w.Incarnation != order.incarnation:
+	case clock <= 0 || w.Incarnation != order.incarnation || w.clockAt == 0: // no clock to compare with
 	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
 		w.clockRestarted = true
 		w.voidDeadlines(now)
