Ends are acknowledged only to the incarnation that listed them

Callers saw tasks run again that had ended done. Cause: the planner sent the highest durable end of a worker's incarnation with every renewal, also with those that it sent after the worker had restarted under its ID and before it knew so. The next incarnation numbers its ends from 1 and forgot the first ones unread; its report omitted the runs, and the planner took that for expired leases. Such a renewal may also be executed late, or be held until the next end.

A renewal acknowledges only while the incarnation is certain: the worker has answered the last call, no answer had a clock that went back, and no start to it is unanswered. It doesn't wait, and all others acknowledge nothing. An answer of another incarnation doesn't count as acknowledged. While an unanswered acknowledgement may still be executed (LateOrderWindow), an incarnation that has restarted gets no starts, and a start to a worker that is not known to have restarted is preceded by the question which incarnation it is.

--- a/internal/run/engine/acks.go
+++ b/internal/run/engine/acks.go
@@ -1,13 +1,78 @@
 package engine
 
-import "sesameyoke/internal/peer/target"
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sesameyoke/internal/peer/target"
+)
+
+// Each incarnation of a worker numbers its ends from 1. An acknowledgement that reaches the next
+// incarnation, because the restart is not known yet or because the call is executed late, makes it forget
+// ends that the planner has not read. Hence a renewal that acknowledges ends is answered at once, and is
+// sent only while it is certain which incarnation receives it.
+
+// mayAck reports whether ends are to be acknowledged to the worker now. A start without an answer may have
+// been the first order to a new incarnation.
+func (w *worker) mayAck() bool {
+	if w.durableEnd <= w.ackedEnd || w.silentSince != 0 || w.clockRestarted {
+		return false
+	}
+	for _, m := range w.members() {
+		if m.answeredAt == 0 && (m.phase == starting || m.phase == unconfirmed) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// awaitsOutcome reports whether the next report settles a run whose start got no answer.
+func (w *worker) awaitsOutcome() bool {
+	for _, m := range w.members() {
+		if m.answeredAt != 0 && m.phase == unconfirmed {
+			return true
+		}
+	}
+
+	return false
+}
+
+// beginAck notes that a renewal that acknowledges ends is about to be sent, unless that is no longer
+// certain to reach the incarnation. Until it is answered, a later incarnation may execute it.
+func (e *Engine) beginAck(w *worker, to recipient) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w.Incarnation != to.incarnation || !w.mayAck() {
+		return false
+	}
+	now := e.SinceBoot()
+	maps.DeleteFunc(e.lateAcks, func(_ string, until time.Duration) bool { return now > until })
+	w.ackBefore = e.lateAcks[w.ID]
+	e.lateAcks[w.ID] = now + e.Timing.LateOrderWindow
+
+	return true
+}
+
+// endAck notes the outcome of a renewal that acknowledges ends. Without an answer, it may still be executed
+// until LateOrderWindow after it was sent.
+func (e *Engine) endAck(w *worker, to recipient, renewal target.LeaseRenewal, r target.Report, err error, sentBy time.Duration) {
+	if errors.Is(err, target.ErrUnknown) {
+		e.lateAcks[w.ID] = max(w.ackBefore, sentBy+e.Timing.LateOrderWindow)
+	} else {
+		e.lateAcks[w.ID] = w.ackBefore
+	}
+	if err == nil && w.Incarnation == to.incarnation && (r.Incarnation == 0 || r.Incarnation == to.incarnation) {
+		w.ackedEnd = max(w.ackedEnd, renewal.Acked)
 
-// logAck logs an acknowledgement that may have reached another incarnation than the one whose ends it
-// names: it got no answer, or another incarnation answered.
-func (e *Engine) logAck(w *worker, to recipient, renewal target.LeaseRenewal, r target.Report, err error) {
-	if renewal.Acked == 0 || (err == nil && r.Incarnation == to.incarnation) {
 		return
 	}
+	if w.Incarnation != to.incarnation || w.clockRestarted {
+		w.forgetsUntil = e.lateAcks[w.ID]
+	}
 	e.Log.Warn().Str("event", "ack-uncertain").Str("worker", w.ID).Int64("to", to.incarnation).Int64("born", r.Incarnation).
 		Int64("number", renewal.Acked).Err(err).Msg("")
 }
@@ -34,3 +99,28 @@
 	e.Log.Warn().Str("event", "run-missing").Str("id", u.job.ID).Str("unit", u.name).Int("task", m.index).Int64("run", u.run).
 		Str("worker", m.worker.ID).Int64("born", m.worker.Incarnation).Dur("since", e.SinceBoot()-m.answeredAt).Msg("")
 }
+
+// confirmIncarnation asks a worker to which a start is about to be sent whether it is still the incarnation
+// that is known. It does so only while an acknowledgement may be executed late: the next incarnation, whose
+// start is not known yet, could forget the end of the run.
+func (e *Engine) confirmIncarnation(to recipient) error {
+	e.mu.Lock()
+	until := e.lateAcks[to.ID]
+	e.mu.Unlock()
+	if e.SinceBoot() >= until {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
+	defer cancel()
+	r, err := e.Workers.RenewLease(ctx, to.Address, target.LeaseRenewal{Token: e.Lease.Token})
+	switch {
+	case errors.Is(err, target.ErrFenced):
+		return err
+	case err != nil:
+		return errors.Wrap(target.ErrRefused, err.Error())
+	case r.Incarnation != 0 && r.Incarnation != to.incarnation:
+		return errors.Wrap(target.ErrRefused, "worker has restarted")
+	}
+
+	return nil
+}
--- a/internal/run/engine/describe_test.go
+++ b/internal/run/engine/describe_test.go
@@ -40,12 +40,22 @@
 			continue
 		}
 		w := m.worker
-		fmt.Fprintf(b, "    member %d: phase %d, answered %v, stop in flight %v, inherited %v, worker %s: listed %v, host %q, reported %v, born %d, silent since %v, clock %d at %v, deadline %d, lease expired %v, ends %d/%d/%d, now %v\n",
+		fmt.Fprintf(b, "    member %d: phase %d, answered %v, stop in flight %v, inherited %v, worker %s: listed %v, host %q, reported %v, born %d, silent since %v, clock %d at %v, deadline %d, lease expired %v, ends %d/%d/%d, clock restarted %v, forgets until %v, runs %s, now %v\n",
 			m.index, m.phase, m.answeredAt, m.stopInFlight, m.inherited, w.ID, w.listed, w.Host, w.reported, w.Incarnation, w.silentSince,
-			w.clock, w.clockAt, w.deadline, w.leaseExpired(e.SinceBoot()), w.seenEnd, w.durableEnd, w.ackedEnd, e.SinceBoot())
+			w.clock, w.clockAt, w.deadline, w.leaseExpired(e.SinceBoot()), w.seenEnd, w.durableEnd, w.ackedEnd, w.clockRestarted, w.forgetsUntil, w.describePhases(), e.SinceBoot())
 	}
 }
 
+// describePhases lists the runs of a worker with their phases and when they were answered.
+func (w *worker) describePhases() string {
+	var all []string
+	for _, m := range w.members() {
+		all = append(all, fmt.Sprintf("%s#%d:%d@%v", m.unit.name, m.index, m.phase, m.answeredAt))
+	}
+
+	return strings.Join(all, " ")
+}
+
 // lengths returns the number of waiting members by priority class.
 func (q *startQueue) lengths() []int {
 	n := make([]int, 0, startClasses)
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -71,7 +71,7 @@
 // schedulable reports whether the worker may receive runs now.
 func (w *worker) schedulable(now time.Duration) bool {
 	known := w.listed && w.reported && w.Host != ""
-	healthy := w.silentSince == 0 && now >= w.refusingUntil && now >= w.stalledUntil
+	healthy := w.silentSince == 0 && now >= w.refusingUntil && now >= w.stalledUntil && now >= w.forgetsUntil
 
 	return known && healthy && !w.Draining && !w.cordoned && !w.evacuated
 }
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -86,7 +86,7 @@
 func (e *Engine) nextRenewal(w *worker) (target.LeaseRenewal, recipient, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	renewal := target.LeaseRenewal{Token: e.Lease.Token, Acked: w.durableEnd, Wait: e.Timing.ReportWait}
+	renewal := target.LeaseRenewal{Token: e.Lease.Token, Wait: e.Timing.ReportWait}
 	if w.Host == "" {
 		e.expireLease(w)
 
@@ -103,8 +103,14 @@
 	if w.needsNoReport(e.SinceBoot()) {
 		return renewal, recipient{}, false
 	}
-	if w.seenEnd > w.durableEnd { // these ends cannot be acknowledged yet, so the worker would report them again at once
-		if len(w.runs) == 0 || e.SinceBoot()-w.clockAt < pendingEndsPause {
+	switch {
+	case w.mayAck():
+		renewal.Acked, renewal.Wait = w.durableEnd, 0
+	case w.silentSince != 0:
+	case w.clockRestarted || w.awaitsOutcome():
+		renewal.Wait = 0
+	case w.seenEnd > w.ackedEnd: // these ends cannot be acknowledged yet, so the worker would report them again at once
+		if (len(w.runs) == 0 && w.seenEnd > w.durableEnd) || e.SinceBoot()-w.clockAt < pendingEndsPause {
 			return renewal, recipient{}, false
 		}
 		renewal.Wait = 0
@@ -134,6 +140,9 @@
 		}
 		defer e.calls.release()
 	}
+	if renewal.Acked > 0 && !e.beginAck(w, to) {
+		renewal.Acked = 0
+	}
 	ctx, cancel := context.WithTimeout(e.ctx, renewal.Wait+renewalSlack)
 	defer cancel()
 	sent := e.SinceBoot()
@@ -148,9 +157,11 @@
 		w.settleOrder(to.incarnation)
 	}
 	e.noteOutcome(w, err, sentOrder{at: sentBy(), incarnation: to.incarnation, deadline: renewal.Deadline})
-	e.logAck(w, to, renewal, r, err)
+	if renewal.Acked > 0 {
+		e.endAck(w, to, renewal, r, err, sentBy())
+	}
 	if err == nil {
-		e.contain("report", w.ID, func() { e.handleReport(w, renewal, r, sent) })
+		e.contain("report", w.ID, func() { e.handleReport(w, r, sent) })
 
 		return
 	}
@@ -254,7 +265,7 @@
 // handleReport processes a worker's report. One that was requested after the planner had learnt of the
 // newest incarnation is not from an earlier one, even if its start time is lower: the worker's time of day
 // may have been set back.
-func (e *Engine) handleReport(w *worker, renewal target.LeaseRenewal, r target.Report, sent time.Duration) {
+func (e *Engine) handleReport(w *worker, r target.Report, sent time.Duration) {
 	if r.Incarnation != 0 && r.Incarnation < w.Incarnation && sent <= w.incarnationAt {
 		return // from an earlier incarnation
 	}
@@ -270,9 +281,11 @@
 	w.noteClock(r.Clock, sent)
 	if restarted {
 		e.logStale(w)
+	} else if r.Incarnation != 0 && sent > w.clockRestartedAt {
+		w.clockRestarted = false // it has not restarted
 	}
 	e.admitReports(w)
-	w.ackedEnd, w.reportDue = max(w.ackedEnd, renewal.Acked), false
+	w.reportDue = false
 	inReport := map[*member]bool{}
 	e.recordEnds(w, r.Ended, inReport)
 	for _, run := range r.Running {
@@ -310,8 +323,9 @@
 	switch {
 	case clock <= 0 || w.Incarnation != order.incarnation || w.clockAt == 0: // no clock to compare with
 	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
-		w.clockRestarted = true
+		w.clockRestarted, w.clockRestartedAt = true, now
 		w.voidDeadlines(now)
+		w.forgetsUntil = e.lateAcks[w.ID]
 		w.setClock(clock, now)
 		w.deadline = 0
 		w.noteClock(clock, order.at)
@@ -328,6 +342,7 @@
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", w.Incarnation).Int("runs", len(w.runs)).Msg("")
 	e.handleLoss(w, e.restartCause(w, draining), incarnation)
 	w.resetIncarnation(incarnation, e.SinceBoot())
+	w.forgetsUntil = e.lateAcks[w.ID]
 	for _, m := range w.members() {
 		// An unanswered start may still reach the new incarnation. Only a stop that this
 		// incarnation answers rules that out. For all other runs, its report shows whether
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -46,7 +46,7 @@
 		case m.phase != planned:
 		case m.unit.aborted:
 			e.release(m)
-		case !m.worker.reported: // without this member, the rest of a gang would wait in vain
+		case !m.worker.reported || e.SinceBoot() < m.worker.forgetsUntil: // without this member, the rest of a gang would wait in vain
 			e.abort(m.unit, "worker restarted")
 			e.release(m)
 		case e.isEvacuated(m.worker):
@@ -74,7 +74,10 @@
 	to := w.recipient()
 	e.background.Go(func() {
 		sent := e.SinceBoot()
-		a := e.startWithRetry(m, to, order)
+		a := startAnswer{err: e.confirmIncarnation(to)}
+		if a.err == nil {
+			a = e.startWithRetry(m, to, order)
+		}
 		a.order = sentOrder{at: sent, incarnation: to.incarnation, deadline: order.Deadline}
 		e.Observe("start_seconds", e.SinceBoot()-sent)
 		e.handleStartAnswer(m, a)
@@ -105,6 +108,7 @@
 	default:
 		e.applyStartAnswer(m, a)
 	}
+	m.worker.wakeSession() // ends may wait to be acknowledged
 	e.sendStarts()
 }
 
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -42,11 +42,14 @@
 	incarnationAt     time.Duration           // when its incarnation became known
 	superseded        int64                   // an earlier incarnation that has a higher start time; 0 if there is none
 	clockRestarted    bool                    // its clock has begun anew, but the new incarnation is not known yet
+	clockRestartedAt  time.Duration           // when that was noticed
 	seenEnd           int64                   // highest number of a processed run end
 	durableEnd        int64                   // all run ends up to this number are durable
 	heldEnd           int64                   // lowest number of an end that is not acknowledged because its job is on hold; 0 if there is none
 	reportDue         bool                    // a report is requested even without runs
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
+	ackBefore         time.Duration           // until when an acknowledgement before the one in flight may be executed
+	forgetsUntil      time.Duration           // until then, its incarnation may execute an acknowledgement for an earlier one
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
 	lostAt            time.Duration           // when it broke its connection, else when it last answered before it was silent
 	maintainedUntil   time.Duration           // a restart until then is due to maintenance of its host
@@ -70,7 +73,7 @@
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, coldUntil: e.SinceBoot() + w.ColdFor, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), free: w.Capacity, baseSlowdown: 1, speed: e.inheritedSpeed(w.ID), cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, coldUntil: e.SinceBoot() + w.ColdFor, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), forgetsUntil: e.lateAcks[w.ID], free: w.Capacity, baseSlowdown: 1, speed: e.inheritedSpeed(w.ID), cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
