Renewals: content and due time in a function of their own

No change of behaviour, but that a report without a start time ends the doubt about a worker's clock too.

--- a/internal/run/engine/describe_test.go
+++ b/internal/run/engine/describe_test.go
@@ -48,8 +48,9 @@
 
 // describePhases lists the runs of a worker with their phases and when they were answered.
 func (w *worker) describePhases() string {
-	var all []string
-	for _, m := range w.members() {
+	members := w.members()
+	all := make([]string, 0, len(members))
+	for _, m := range members {
 		all = append(all, fmt.Sprintf("%s#%d:%d@%v", m.unit.name, m.index, m.phase, m.answeredAt))
 	}
 
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -103,33 +103,44 @@
 	if w.needsNoReport(e.SinceBoot()) {
 		return renewal, recipient{}, false
 	}
+	var due bool
+	if renewal.Acked, renewal.Wait, due = e.renewalContent(w); !due {
+		return renewal, recipient{}, false
+	}
+	if len(w.runs) > 0 && w.silentSince == 0 && w.mayHoldLease() { // the lease of a silent worker is not renewed, so that it can expire
+		renewal.Deadline = w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease)
+	}
+
+	return renewal, w.recipient(), true
+}
+
+// renewalContent returns up to which number a renewal acknowledges ends, how long the worker may delay its
+// answer, and whether the renewal is due now.
+func (e *Engine) renewalContent(w *worker) (acked int64, wait time.Duration, due bool) {
 	switch {
 	case w.mayAck():
-		renewal.Acked, renewal.Wait = w.durableEnd, 0
+		return w.durableEnd, 0, true
 	case w.silentSince != 0:
-	case w.clockRestarted || w.awaitsOutcome():
-		renewal.Wait = 0
+	case w.clockRestarted:
+		return 0, 0, true
+	case w.awaitsOutcome():
 	case w.seenEnd > w.ackedEnd: // these ends cannot be acknowledged yet, so the worker would report them again at once
-		if (len(w.runs) == 0 && w.seenEnd > w.durableEnd) || e.SinceBoot()-w.clockAt < pendingEndsPause {
-			return renewal, recipient{}, false
-		}
-		renewal.Wait = 0
+		waits := (len(w.runs) == 0 && w.seenEnd > w.durableEnd) || e.SinceBoot()-w.clockAt < pendingEndsPause
+
+		return 0, 0, !waits
 	}
+	wait = e.Timing.ReportWait
 	if len(w.runs) == 0 {
-		renewal.Wait = 0
-	} else if w.silentSince == 0 && w.mayHoldLease() { // the lease of a silent worker is not renewed, so that it can expire
-		renewal.Deadline = w.nextDeadline(e.SinceBoot(), e.Timing.WorkerLease)
+		wait = 0
 	}
 	if w.hasBestEffortBesideServing() {
-		renewal.Wait = min(renewal.Wait, sharedReportWait)
+		wait = min(wait, sharedReportWait)
 	}
-	for _, m := range w.members() {
-		if m.answeredAt != 0 && m.phase == unconfirmed {
-			renewal.Wait = min(renewal.Wait, confirmWait)
-		}
+	if w.awaitsOutcome() {
+		wait = min(wait, confirmWait)
 	}
 
-	return renewal, w.recipient(), true
+	return 0, wait, true
 }
 
 // sendRenewal sends a lease renewal and processes the outcome.
@@ -281,7 +292,7 @@
 	w.noteClock(r.Clock, sent)
 	if restarted {
 		e.logStale(w)
-	} else if r.Incarnation != 0 && sent > w.clockRestartedAt {
+	} else if sent > w.clockRestartedAt {
 		w.clockRestarted = false // it has not restarted
 	}
 	e.admitReports(w)
