A VM that shuts down answers the requests that it has read

Callers saw connections end without an answer when a VM was stopped: the servers had 1 s after the 2.5 s in which the VM leaves the rotation, one after the other, while a request may wait for 2.85 s for a planner or the store. What was left after that was cut, and the caller couldn't tell whether its job was accepted.

All servers shut down at once and have the rest of the grace period. Requests that still wait 0.7 s before its end are answered with what is known then (504 if an attempt may have reached the store). A VM without such requests ends as early as before.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -40,8 +41,10 @@
 const (
 	memoryLimitShare        = 0.7                     // share of the VM's memory that is the Go runtime's soft limit
 	gcPercent               = 200                     // new allocations, in percent of the live heap, that trigger a garbage collection
-	shutdownDelay           = 2500 * time.Millisecond // from the end of readiness until the servers shut down
-	shutdownTimeout         = time.Second             // of the servers; shutdownDelay is shortened to leave twice this time of the grace period
+	shutdownDelay           = 2500 * time.Millisecond // from the end of readiness until the servers accept no more requests
+	minAnswerTime           = time.Second             // left for requests after that; a short grace period shortens shutdownDelay instead
+	answerMargin            = 700 * time.Millisecond  // requests that still wait are answered this long before the end of the grace period
+	exitMargin              = 200 * time.Millisecond  // the process ends at the latest this long before that
 	idleTimeout             = 60 * time.Second
 	leaseTimeout            = 1200 * time.Millisecond // another VM may take over a lease that has not changed for this time
 	deadHolderTimeout       = 800 * time.Millisecond  // replaces leaseTimeout while nothing listens at the planner's address
@@ -77,6 +80,8 @@
 	elector  *lead.Elector
 	lag      timer.Lag
 	servers  []*http.Server
+	requests context.Context    // parent of all requests' contexts
+	giveUp   context.CancelFunc // ends requests
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
@@ -112,6 +117,7 @@
 
 func newVM(settings platform.Settings, l *plog.Logger) *vm {
 	v := &vm{settings: settings, log: l, metrics: metrics.New(), lag: timer.Lag{Now: sinceBoot}}
+	v.requests, v.giveUp = context.WithCancel(context.Background())
 	direct := platform.NewStore(settings.Store)
 	peers := &planner.Client{HTTP: &http.Client{Transport: rest.NewTransport()}}
 	st := relay.New(relay.Config{
@@ -200,6 +206,7 @@
 		return err
 	}
 	s := clients.HTTP(h)
+	s.BaseContext = func(net.Listener) context.Context { return v.requests }
 	v.servers = append(v.servers, s)
 	go func() {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -243,18 +250,25 @@
 }
 
 // shutdown shuts the VM down gracefully: it hands over the lease, asks callers to
-// reconnect elsewhere and answers the requests in flight.
+// reconnect elsewhere and answers the requests in flight. Those that still wait near the end of the grace
+// period are answered with what is known by then.
 func (v *vm) shutdown(ctx context.Context) {
+	began := time.Now()
+	grace := v.settings.Grace
+	defer time.AfterFunc(grace-answerMargin, v.giveUp).Stop()
 	v.entry.Leave()
 	v.elector.Leave(ctx)
-	wait := min(shutdownDelay, v.settings.Grace-2*shutdownTimeout)
-	time.Sleep(max(0, wait))
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	time.Sleep(min(shutdownDelay, grace-answerMargin-minAnswerTime) - time.Since(began))
+	ctx, cancel := context.WithTimeout(ctx, grace-exitMargin-time.Since(began))
 	defer cancel()
+	var ending sync.WaitGroup
 	for _, s := range v.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			v.log.Warn().Str("event", "shutdown-cut").Err(err).Msg("")
-		}
+		ending.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				v.log.Warn().Str("event", "shutdown-cut").Err(err).Msg("")
+			}
+		})
 	}
+	ending.Wait()
 	v.log.Info().Str("event", "stopped").Msg("")
 }
