A process that ends writes the last lines of its log

Lines are written in the background, and those of the last moment were lost when the process ended: no log of a graceful shutdown held event=stopped, nor event=shutdown-cut, which tells of requests that were cut. TestCloseWritesLastLines.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -45,6 +45,7 @@
 	minAnswerTime           = time.Second             // left for requests after that; a short grace period shortens shutdownDelay instead
 	answerMargin            = 700 * time.Millisecond  // requests that still wait are answered this long before the end of the grace period
 	exitMargin              = 200 * time.Millisecond  // the process ends at the latest this long before that
+	logTimeout              = 100 * time.Millisecond  // for the last lines of the log
 	idleTimeout             = 60 * time.Second
 	leaseTimeout            = 1200 * time.Millisecond // another VM may take over a lease that has not changed for this time
 	deadHolderTimeout       = 800 * time.Millisecond  // replaces leaseTimeout while nothing listens at the planner's address
@@ -101,6 +102,8 @@
 	v.awaitShutdown(ctx)
 	v.shutdown(ctx)
 
+	_ = logs.Close(v.log, logTimeout) // an output that blocks loses its last lines and doesn't make the shutdown fail
+
 	return nil
 }
 
--- a/internal/run/logs/logs.go
+++ b/internal/run/logs/logs.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -31,6 +32,9 @@
 	tokens     float64
 	refilledAt time.Time
 	dropped    int
+
+	closing sync.RWMutex // held for reading while a line is passed on
+	closed  bool
 }
 
 // New returns a logger that writes lines of at least the given level to w.
@@ -49,6 +53,11 @@
 // WriteEntry writes a line, or drops and counts it if the rate is exceeded. Lines of all
 // levels count towards the same limit.
 func (l *Limit) WriteEntry(e *log.Entry) (int, error) {
+	l.closing.RLock()
+	defer l.closing.RUnlock()
+	if l.closed {
+		return 0, nil
+	}
 	dropped, ok := l.takeToken()
 	if !ok {
 		return 0, nil
@@ -61,6 +70,35 @@
 	return l.Writer.WriteEntry(e)
 }
 
+// Close writes the lines that are still buffered; later ones are dropped. It gives up after the timeout,
+// because the output may block.
+func Close(l *log.Logger, timeout time.Duration) error {
+	limit, ok := l.Writer.(*Limit)
+	if !ok {
+		return nil
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- limit.close() }()
+	select {
+	case err := <-closed:
+		return errors.Wrap(err, "close log")
+	case <-time.After(timeout):
+		return errors.Errorf("close log: the output has blocked for %v", timeout)
+	}
+}
+
+// close closes the writer, to which no line may be passed after that.
+func (l *Limit) close() error {
+	l.closing.Lock()
+	l.closed = true
+	l.closing.Unlock()
+	if c, ok := l.Writer.(io.Closer); ok {
+		return c.Close()
+	}
+
+	return nil
+}
+
 // takeToken reports whether a line may be written. If so, it also returns the number of
 // lines dropped since the last line that was written.
 func (l *Limit) takeToken() (dropped int, ok bool) {
--- a/internal/run/logs/logs_test.go
+++ b/internal/run/logs/logs_test.go
@@ -60,3 +60,28 @@
 	require.Contains(t, out.String(), "event=lines-dropped count=15")
 	require.Contains(t, out.String(), "event=later")
 }
+
+// TestCloseWritesLastLines writes a line and closes the log at once. It guards against a process that ends
+// without its last lines, which tell how it ended.
+func TestCloseWritesLastLines(t *testing.T) {
+	r, w := io.Pipe()
+	l := logs.New("info", w)
+	l.Info().Str("event", "stopped").Msg("")
+	read := make(chan string, 1)
+	go func() {
+		b := make([]byte, 256)
+		n, _ := r.Read(b)
+		read <- string(b[:n])
+	}()
+	require.NoError(t, logs.Close(l, time.Minute))
+	require.Contains(t, <-read, "event=stopped")
+}
+
+// TestCloseGivesUp closes a log whose output blocks. It guards against a process that can't end because
+// nobody reads its log.
+func TestCloseGivesUp(t *testing.T) {
+	_, w := io.Pipe()
+	l := logs.New("info", w)
+	l.Info().Str("event", "stopped").Msg("")
+	require.Error(t, logs.Close(l, 10*time.Millisecond))
+}
