--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sesameyoke/internal/core/work"
 	"sesameyoke/platform/standin"
 )
@@ -32,7 +33,13 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		j := randomJob(rng, s.Seed, i)
 		first := rng.IntN(len(s.vms))
-		wait.Go(func() { s.submit(j, first) })
+		wait.Go(func() {
+			s.submit(j, func(attempt int, body []byte) (int, error) {
+				status, _, err := s.call(s.ctx, http.MethodPost, s.vms[(first+attempt)%len(s.vms)], j.ID, body)
+
+				return status, err
+			})
+		})
 		time.Sleep(pollInterval)
 	}
 	wait.Wait()
@@ -51,16 +58,16 @@
 	return j
 }
 
-// submit submits a job to one VM after the other, beginning with vms[first], until one
-// accepts it. If every attempt is definitely refused, the job must never run.
-func (s *soak) submit(j work.Job, first int) {
+// submit submits a job with one call of send after the other until a VM accepts it. If every
+// attempt is definitely refused, the job must never run.
+func (s *soak) submit(j work.Job, send func(attempt int, body []byte) (status int, err error)) {
 	s.platform.Fleet.RecordSubmission(j)
 	body, uncertain := standin.JobBody(j), false
 	s.mu.Lock()
 	s.submitted++
 	s.mu.Unlock()
 	for i := range submitAttempts {
-		status, _, err := s.call(s.ctx, http.MethodPost, s.vms[(first+i)%len(s.vms)], j.ID, body)
+		status, err := send(i, body)
 		switch {
 		case err == nil && status == http.StatusOK:
 			s.mu.Lock()
@@ -69,6 +76,7 @@
 			go s.checkVisible(j.ID)
 
 			return
+		case errors.Is(err, errNoVM): // nothing was sent
 		case err != nil, status == http.StatusGatewayTimeout:
 			uncertain = true
 		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
@@ -86,7 +94,11 @@
 // checkVisible checks that every VM knows an accepted job after visibilityDelay.
 func (s *soak) checkVisible(id string) {
 	time.Sleep(visibilityDelay)
-	for _, p := range s.vms {
+	checked := s.vms
+	if s.Work != randomFaults { // there are many VMs and jobs
+		checked = []*process{s.vms[rand.IntN(len(s.vms))]}
+	}
+	for _, p := range checked {
 		if status, _, err := s.call(s.ctx, http.MethodGet, p, id, nil); err == nil && status == http.StatusGone {
 			s.failf("accepted job %s is unknown to %s after %v", id, p.name, visibilityDelay)
 		}
@@ -117,7 +129,14 @@
 // query records the state of a job and checks that a final state never changes.
 func (s *soak) query(ctx context.Context, id string) {
 	status, body, err := s.call(ctx, http.MethodGet, s.vms[rand.IntN(len(s.vms))], id, nil)
-	if err != nil || status != http.StatusOK {
+	if err == nil {
+		s.recordState(id, status, body)
+	}
+}
+
+// recordState records the answer to a query.
+func (s *soak) recordState(id string, status int, body []byte) {
+	if status != http.StatusOK {
 		return
 	}
 	var got struct {
@@ -141,13 +160,10 @@
 func (s *soak) call(ctx context.Context, method string, p *process, id string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.frontend+standin.QueuePrefix+id, bytes.NewReader(body))
+	req, err := newRequest(ctx, method, p, id, body)
 	if err != nil {
 		return 0, nil, err
 	}
-	req.Host = standin.QueueHost
-	req.Header.Set("Authorization", "Bearer "+standin.APIKey)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil, err
@@ -157,3 +173,11 @@
 
 	return resp.StatusCode, b, err
 }
+
+// state returns the newest known state of a job.
+func (s *soak) state(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.accepted[id]
+}
--- a/cmd/soak/inject.go
+++ b/cmd/soak/inject.go
@@ -20,7 +20,7 @@
 		p.pause()
 	case 4, 5:
 		for _, o := range s.vms {
-			if o.paused {
+			if o.paused.Load() {
 				o.resume()
 			}
 		}
@@ -67,7 +67,7 @@
 	}
 	for _, p := range s.vms {
 		p.storeProxy.SetMode(proxy.Pass)
-		if p.paused {
+		if p.paused.Load() {
 			p.resume()
 		}
 	}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,11 @@
 			&cli.DurationFlag{Name: "calm", Usage: "longest `TIME` that jobs may take to end after the faults", Value: 60 * time.Second},
 			&cli.IntFlag{Name: "vms", Usage: "`NUMBER` of entry VMs", Value: 4},
 			&cli.IntFlag{Name: "workers", Usage: "`NUMBER` of workers", Value: 8},
+			&cli.StringFlag{Name: "work", Usage: "`KIND` of what happens to the VMs: faults, planned or all", Value: randomFaults},
+			&cli.IntFlag{Name: "clients", Usage: "`NUMBER` of clients that keep a connection, with planned work", Value: 60},
+			&cli.FloatFlag{Name: "rate", Usage: "jobs per second of all these clients, a `NUMBER`", Value: 8},
+			&cli.IntFlag{Name: "cpus", Usage: "`NUMBER` of processors that all VMs share; 0 for all"},
+			&cli.BoolFlag{Name: "quota", Usage: "limit most VMs to a fifth of a core"},
 			&cli.StringFlag{Name: "binary", Usage: "executable `FILE` of sesameyoke", Value: "bin/sesameyoke"},
 			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of failed seeds"},
 		},
@@ -44,14 +49,15 @@
 		started := time.Now()
 		s, err := newSoak(ctx, soakConfig{
 			Seed: seed, VMs: c.Int("vms"), Workers: c.Int("workers"), Binary: c.String("binary"), Logs: c.String("logs"),
+			Work: c.String("work"), Clients: c.Int("clients"), Rate: c.Float("rate"), CPUs: c.Int("cpus"), Quota: c.Bool("quota"), Calm: c.Duration("calm"),
 		})
 		if err != nil {
 			return err
 		}
-		failures := s.run(c.Duration("trouble"), c.Duration("calm"))
+		failures := s.run(c.Duration("trouble"))
 		s.close(len(failures) > 0)
-		fmt.Printf("seed=%d jobs=%d accepted=%d refused=%d steps=%d took=%v faults=%d\n", seed, s.submitted, len(s.accepted), s.refused,
-			s.steps, time.Since(started).Round(time.Second), len(failures))
+		fmt.Printf("seed=%d jobs=%d accepted=%d refused=%d steps=%d %vtook=%v faults=%d\n", seed, s.submitted, len(s.accepted), s.refused,
+			s.steps, s.counts, time.Since(started).Round(time.Second), len(failures))
 		for _, f := range failures {
 			fmt.Println("  " + f)
 		}
--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,7 +36,12 @@
 	reserved     net.Listener // keeps other soaks from using the ports of the VM
 	cmd          *exec.Cmd
 	exited       chan error
-	paused       bool // by SIGSTOP
+	cores        float64      // quota of processor time
+	pid          atomic.Int64 // of the running process; 0 if there is none
+	paused       atomic.Bool  // by a fault that sent SIGSTOP
+	work         sync.Mutex   // held while the process is stopped and started
+	terminated   atomic.Int64 // Unix milliseconds of the newest SIGTERM
+	reloaded     atomic.Int64 // the same of SIGHUP
 }
 
 func (s *soak) newProcess(i int, platformAddress string) (*process, error) {
@@ -50,7 +57,14 @@
 	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
 	p.frontend, p.readiness = address(portsPerVM-1), address(portsPerVM-2)
 	p.settingsPath = filepath.Join(s.dir, p.name+".yaml")
-	file := standin.SettingsFile(p.name, p.frontend, p.readiness, p.storeProxy.Address, first, first+portsPerVM-3)
+	p.cores = defaultCores
+	if s.Quota {
+		p.cores = weakCores
+		if i%strongShare == 0 {
+			p.cores = strongCores
+		}
+	}
+	file := standin.SettingsFileOf(p.cores, p.name, p.frontend, p.readiness, p.storeProxy.Address, first, first+portsPerVM-3)
 
 	return p, errors.Wrap(os.WriteFile(p.settingsPath, file, 0o600), "write settings")
 }
@@ -63,12 +77,16 @@
 	p.cmd = exec.CommandContext(p.s.ctx, p.s.Binary, "entry")
 	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	if err := onFirstCPUs(p.s.CPUs, p.cmd.Start); err != nil {
 		return errors.Wrapf(err, "start %s", p.Binary())
 	}
+	pid := int64(p.cmd.Process.Pid)
+	p.pid.Store(pid)
 	p.exited = make(chan error, 1)
 	go func(cmd *exec.Cmd, exited chan<- error) {
-		exited <- cmd.Wait()
+		err := cmd.Wait()
+		p.pid.CompareAndSwap(pid, 0)
+		exited <- err
 		_ = out.Close() // the process has exited and writes no more
 	}(p.cmd, p.exited)
 
@@ -86,14 +104,19 @@
 
 // kill ends the process with SIGKILL.
 func (p *process) kill() {
+	if p.cmd == nil {
+		return // it has not been added
+	}
 	p.signal(syscall.SIGKILL)
 	<-p.exited
-	p.paused = false
+	p.paused.Store(false)
 	p.exited <- nil // a later receive must not block
 }
 
 // restart kills the process and starts it again.
 func (p *process) restart() {
+	p.work.Lock()
+	defer p.work.Unlock()
 	p.kill()
 	if err := p.start(); err != nil {
 		p.s.failf("restart %s: %v", p.name, err)
@@ -103,7 +126,17 @@
 // restartGracefully requests a graceful shutdown and starts the process again. A
 // shutdown that fails or exceeds shutdownTimeout is a failure of the run.
 func (p *process) restartGracefully() {
-	if p.paused {
+	p.work.Lock()
+	defer p.work.Unlock()
+	p.stopGracefully()
+	if err := p.start(); err != nil {
+		p.s.failf("restart %s: %v", p.name, err)
+	}
+}
+
+// stopGracefully requests a graceful shutdown and waits for its end.
+func (p *process) stopGracefully() {
+	if p.paused.Load() {
 		p.resume()
 	}
 	p.signal(syscall.SIGTERM)
@@ -116,18 +149,18 @@
 		p.s.failf("graceful shutdown of %s did not end within %v", p.name, shutdownTimeout)
 		p.kill()
 	}
-	if err := p.start(); err != nil {
-		p.s.failf("restart %s: %v", p.name, err)
-	}
 }
 
 func (p *process) pause() {
-	p.paused = true
+	if p.pid.Load() == 0 {
+		return
+	}
+	p.paused.Store(true)
 	p.signal(syscall.SIGSTOP)
 }
 
 func (p *process) resume() {
-	p.paused = false
+	p.paused.Store(false)
 	p.signal(syscall.SIGCONT)
 }
 
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -34,6 +34,12 @@
 		Workers int
 		Binary  string
 		Logs    string
+		Work    string // randomFaults, plannedWork or allWork
+		Clients int
+		Rate    float64 // jobs per second of all clients
+		CPUs    int     // number of processors that all VMs share; 0 for all
+		Quota   bool    // limit the processor time of each VM
+		Calm    time.Duration
 	}
 
 	// soak is the run of one seed.
@@ -55,6 +61,9 @@
 		refused   int
 		accepted  map[string]string // newest known state by job ID
 		failures  []string
+		counts    counts
+		rotation  []*process // VMs that the load balancer uses
+		published time.Time  // of the newest configuration
 	}
 )
 
@@ -114,16 +123,25 @@
 			return err
 		}
 		s.vms = append(s.vms, p)
+		if s.Work != randomFaults && i%addedShare == addedShare-1 {
+			continue // it is added during the run
+		}
 		if err := p.start(); err != nil {
 			return err
 		}
 	}
+	if s.Quota {
+		go s.limitCPU()
+	}
 
 	return s.awaitReady()
 }
 
 func (s *soak) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
+	s.published = time.Now()
 	s.platform.PublishConfig(s.version)
 }
 
@@ -132,7 +150,7 @@
 	for time.Now().Before(until) {
 		n := 0
 		for _, p := range s.vms {
-			if p.ready(s.ctx) {
+			if p.pid.Load() == 0 || p.ready(s.ctx) {
 				n++
 			}
 		}
@@ -153,7 +171,21 @@
 
 // run injects faults under load, then ends all faults and waits for all jobs to end. It
 // returns the failures.
-func (s *soak) run(faultTime, settleTime time.Duration) []string {
+func (s *soak) run(faultTime time.Duration) []string {
+	if s.Work == randomFaults {
+		s.runFaults(faultTime)
+	} else {
+		s.runPlanned(faultTime)
+	}
+	for _, f := range s.platform.Fleet.Violations() {
+		s.failf("workers: %s", f)
+	}
+
+	return s.failures
+}
+
+// runFaults injects faults while jobs are submitted and queried.
+func (s *soak) runFaults(faultTime time.Duration) {
 	var wait sync.WaitGroup
 	traffic, stop := context.WithCancel(s.ctx)
 	wait.Go(func() { s.submitAll(traffic) })
@@ -167,12 +199,7 @@
 	s.clearFaults()
 	stop()
 	wait.Wait()
-	s.awaitCompletion(settleTime)
-	for _, f := range s.platform.Fleet.Violations() {
-		s.failf("workers: %s", f)
-	}
-
-	return s.failures
+	s.awaitCompletion(s.Calm)
 }
 
 // awaitCompletion polls until all accepted jobs have ended, for at most the given time.
