--- a/cmd/soak/client.go
+++ b/cmd/soak/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,11 +38,11 @@
 	}
 
 	// counts of the requests of all clients.
-	counts struct{ sent, rejected, unknown, closed, late int }
+	counts struct{ sent, rejected, unknown, closed, reset, late int }
 )
 
 func (n counts) String() string {
-	return fmt.Sprintf("sent=%d rejected=%d unknown=%d closed=%d late=%d ", n.sent, n.rejected, n.unknown, n.closed, n.late)
+	return fmt.Sprintf("sent=%d rejected=%d unknown=%d closed=%d reset=%d late=%d ", n.sent, n.rejected, n.unknown, n.closed, n.reset, n.late)
 }
 
 // run sends requests, on average one per interval, until the context ends.
@@ -123,6 +124,12 @@
 		return errNoVM
 	}
 	c.vm = ready[c.rand.IntN(len(ready))]
+
+	return c.open(ctx)
+}
+
+// open opens a connection to the VM.
+func (c *client) open(ctx context.Context) error {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.vm.frontend)
 	if err != nil {
 		return err
@@ -171,14 +178,18 @@
 	after := time.Since(sent)
 	s.mu.Lock()
 	s.counts.sent++
-	timeout := errors.Is(err, os.ErrDeadlineExceeded)
-	if timeout {
+	read := false
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.counts.late++
-	} else {
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		s.counts.reset++
+	default:
 		s.counts.closed++
+		read = true
 	}
 	s.mu.Unlock()
-	if !timeout && after > lossSlack && s.Work == plannedWork {
+	if read && after > lossSlack && s.Work == plannedWork {
 		s.failf("%s to %s: connection ended without an answer %dms after the request: %v; %s", request, p.name, after.Milliseconds(), err, p.history())
 	}
 }
--- a/cmd/soak/inject.go
+++ b/cmd/soak/inject.go
@@ -61,6 +61,7 @@
 func (s *soak) clearFaults() {
 	s.platform.Store.SetFaults(fleet.StoreFaults{})
 	s.platform.Fleet.SetOrderFaults(0, 0)
+	s.platform.Fleet.SetRenewalFaults(0, 0)
 	s.workerProxy.SetMode(proxy.Pass)
 	for i := range s.Workers {
 		s.platform.Fleet.Cut(fmt.Sprintf("k%d", i), false)
--- a/cmd/soak/planned.go
+++ b/cmd/soak/planned.go
@@ -28,7 +28,10 @@
 	maxSignalGap    = 500 * time.Millisecond
 	maxSignals      = 4 // SIGHUPs or configurations of a series
 	maxDowntime     = time.Second
-	addedShare      = 8 // one VM of this many starts only during the run
+	addedShare      = 8               // one VM of this many starts only during the run
+	calmBefore      = 4 * time.Second // after the faults, from which on no job may wait
+	// Largest share of the lease renewals that are carried out late, and of those without an answer.
+	maxRenewalFaults = 0.1
 )
 
 // planned runs the clients, the load balancer and the planned work.
@@ -51,27 +54,30 @@
 	}
 	observer, end := context.WithCancel(s.ctx)
 	load.Go(func() { s.balance(traffic) })
-	watched := make(chan bool)
-	go func() {
-		s.observeIdle(observer)
-		close(watched)
-	}()
+	idle := make(chan []*fleet.IdleWait)
+	go func() { idle <- s.observeIdle(observer) }()
 	until := time.Now().Add(d)
 	for time.Now().Before(until) && s.ctx.Err() == nil {
 		s.steps++
 		p.begin()
 		if s.Work == allWork {
 			s.injectFault()
+			s.platform.Fleet.SetRenewalFaults(maxRenewalFaults*p.rand.Float64(), maxRenewalFaults*p.rand.Float64())
 		}
 		time.Sleep(time.Duration(p.rand.Int64N(int64(maxPlannedPause))))
 	}
 	p.wait.Wait()
 	s.clearFaults()
+	calm := time.Now().Add(calmBefore)
 	stop()
 	load.Wait()
 	s.awaitCompletion(s.Calm)
 	end()
-	<-watched
+	for _, w := range <-idle {
+		if s.Work == plannedWork || w.From.After(calm) {
+			s.failf("idle at %s: %v", w.From.UTC().Format("15:04:05.000"), w)
+		}
+	}
 	s.queryAtEnd()
 }
 
@@ -214,8 +220,8 @@
 	return s.rotation
 }
 
-// observeIdle looks for jobs that wait although there is room, until the context ends.
-func (s *soak) observeIdle(ctx context.Context) {
+// observeIdle returns the waits of jobs that have no run although there is room, until the context ends.
+func (s *soak) observeIdle(ctx context.Context) []*fleet.IdleWait {
 	check := fleet.IdleCheck{Fleet: s.platform.Fleet, Service: "s"}
 	for ctx.Err() == nil {
 		var ids []string
@@ -225,9 +231,8 @@
 		check.Observe(ids)
 		time.Sleep(observeInterval)
 	}
-	for _, w := range check.Found {
-		s.failf("idle at %s: %v", w.From.UTC().Format("15:04:05.000"), w)
-	}
+
+	return check.Found
 }
 
 // queryAtEnd asks for all accepted jobs. Each must be known, and answered in time.
--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -33,6 +33,7 @@
 	readiness    string
 	storeProxy   *proxy.Proxy
 	settingsPath string
+	firstPort    int
 	reserved     net.Listener // keeps other soaks from using the ports of the VM
 	cmd          *exec.Cmd
 	exited       chan error
@@ -50,12 +51,10 @@
 	if p.storeProxy, err = proxy.New(s.ctx, platformAddress); err != nil {
 		return nil, err
 	}
-	var first int
-	if first, p.reserved, err = reservePorts(s.ctx, portsPerVM); err != nil {
+	if p.firstPort, p.reserved, err = reservePorts(s.ctx, portsPerVM); err != nil {
 		return nil, err
 	}
-	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
-	p.frontend, p.readiness = address(portsPerVM-1), address(portsPerVM-2)
+	p.frontend, p.readiness = p.internal(portsPerVM-1), p.internal(portsPerVM-2)
 	p.settingsPath = filepath.Join(s.dir, p.name+".yaml")
 	p.cores = defaultCores
 	if s.Quota {
@@ -64,11 +63,14 @@
 			p.cores = strongCores
 		}
 	}
-	file := standin.SettingsFileOf(p.cores, p.name, p.frontend, p.readiness, p.storeProxy.Address, first, first+portsPerVM-3)
+	file := standin.SettingsFileOf(p.cores, p.name, p.frontend, p.readiness, p.storeProxy.Address, p.firstPort, p.firstPort+portsPerVM-3)
 
 	return p, errors.Wrap(os.WriteFile(p.settingsPath, file, 0o600), "write settings")
 }
 
+// internal returns the address of the port with the given number among those of the VM.
+func (p *process) internal(n int) string { return fmt.Sprintf("127.0.0.1:%d", p.firstPort+n) }
+
 func (p *process) start() error {
 	out, err := os.OpenFile(filepath.Join(p.s.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -87,6 +87,7 @@
 
 		return 300*time.Millisecond + time.Duration(x*float64(3*time.Second)), target.Done
 	}
+	s.platform.Fleet.CrossIncarnations = c.Work == allWork
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, errors.Wrap(err, "create directory")
