Failing test: a VM that shuts down while it acquires the planner's lease keeps it

Elector.Leave finds no lease while the append of an acquisition is under way, and returns; the VM then plans until its process ends and neither hands the lease over nor releases it. There is no planner until the lease has expired and the next one has read its state.

--- a/cmd/soak/shutdown_test.go
+++ b/cmd/soak/shutdown_test.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"bytes"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,13 +18,18 @@
 	"github.com/stretchr/testify/require"
 )
 
+const (
+	leaseTopic  = "keyed.lead"           // holds the record of the planner's lease
+	answerDelay = 300 * time.Millisecond // of the answer to an acquisition; longer than a signal takes
+)
+
 // startVMs starts a platform with n VMs that run the present code.
-func startVMs(t *testing.T, n int) *soak {
+func startVMs(t *testing.T, n int, wrap func(http.Handler) http.Handler) *soak {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "sesameyoke")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../sesameyoke").CombinedOutput()
 	require.NoError(t, err, string(out))
-	s, err := newSoak(t.Context(), soakConfig{Seed: 1, VMs: n, Workers: 1, Binary: binary, Work: randomFaults})
+	s, err := newSoak(t.Context(), soakConfig{Seed: 1, VMs: n, Workers: 1, Binary: binary, Work: randomFaults, Wrap: wrap})
 	require.NoError(t, err)
 	s.Work = plannedWork // all VMs have been started
 	t.Cleanup(func() { s.close(false) })
@@ -40,7 +49,7 @@
 		"while other listeners wait for connections": {sentAfter: 3200 * time.Millisecond, unused: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startVMs(t, 12) // the order in which a VM shuts its listeners down varies
+			s := startVMs(t, 12, nil) // the order in which a VM shuts its listeners down varies
 			var clients sync.WaitGroup
 			for i, p := range s.vms {
 				c := &client{s: s, rand: rand.New(rand.NewPCG(1, uint64(i))), vm: p}
@@ -85,7 +94,7 @@
 		suspended   = 2300 * time.Millisecond // after SIGTERM, before the listeners close
 		resumed     = 2800 * time.Millisecond // after SIGTERM, when the listeners should have closed
 	)
-	s := startVMs(t, 8)
+	s := startVMs(t, 8, nil)
 	var clients []*client
 	stopped := s.vms[1:]
 	for i, p := range stopped {
@@ -119,3 +128,53 @@
 	require.Empty(t, s.failures)
 	require.Zero(t, s.counts.reset, "requests that the VMs did not read")
 }
+
+// TestLeaveWhileAcquiring guards against a VM that is told to shut down while it acquires the planner's
+// lease, and that keeps the lease until its process ends: callers then wait for a planner until the lease
+// has expired.
+func TestLeaveWhileAcquiring(t *testing.T) {
+	var armed atomic.Bool
+	acquired := make(chan []byte, 1)
+	s := startVMs(t, 3, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			answer := httptest.NewRecorder()
+			next.ServeHTTP(answer, r)
+			lease := r.URL.Path == "/log-append" && r.URL.Query().Get("topic") == leaseTopic
+			if lease && answer.Code == http.StatusOK && armed.CompareAndSwap(true, false) {
+				acquired <- body
+				time.Sleep(answerDelay)
+			}
+			w.WriteHeader(answer.Code)
+			_, _ = w.Write(answer.Body.Bytes()) // the VM may have given up
+		})
+	})
+	holder := func(record []byte) *process {
+		for _, p := range s.vms {
+			if bytes.Contains(record, []byte(p.name+"/")) {
+				return p
+			}
+		}
+
+		return nil
+	}
+	newest := func() *process {
+		page, err := s.platform.Store.For("test", func() {}).Newest(t.Context(), leaseTopic, 0, "")
+		require.NoError(t, err)
+		require.NotEmpty(t, page.Records)
+
+		return holder(page.Records[0].Value)
+	}
+	time.Sleep(callTimeout) // until there is a planner and the VMs know each other
+	newest().kill()
+	armed.Store(true)
+	leaving := holder(<-acquired)
+	leaving.signal(syscall.SIGTERM)
+	<-leaving.exited
+	leaving.exited <- nil // close receives it
+	require.NotEqual(t, leaving.name, newest().name, "planner when the VM has ended")
+}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -40,6 +40,7 @@
 		CPUs    int     // number of processors that all VMs share; 0 for all
 		Quota   bool    // limit the processor time of each VM
 		Calm    time.Duration
+		Wrap    func(http.Handler) http.Handler // wraps the handler of the platform; nil for none
 	}
 
 	// soak is the run of one seed.
@@ -107,7 +108,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: readyTimeout}
+	handler := s.platform.Handler()
+	if s.Wrap != nil {
+		handler = s.Wrap(handler)
+	}
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
 	go func() {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			s.failf("emulated platform stopped: %v", err)
