Failing test: SIGTERM among several SIGHUPs is dropped

The VM receives both signals by one channel of two places, and os/signal drops what finds it full. A VM that is still handling SIGHUPs then never learns of the SIGTERM: it stays ready, takes requests until it is killed at the end of the grace period, and what it was answering ends without an answer.

--- a/cmd/soak/shutdown_test.go
+++ b/cmd/soak/shutdown_test.go
@@ -178,3 +178,38 @@
 	leaving.exited <- nil // close receives it
 	require.NotEqual(t, leaving.name, newest().name, "planner when the VM has ended")
 }
+
+// TestTerminateAmongHangups guards against a SIGTERM that is dropped because it comes with several SIGHUPs
+// that the VM has not handled yet: the VM goes on until it is killed.
+func TestTerminateAmongHangups(t *testing.T) {
+	const (
+		senders = 3
+		before  = 10 * time.Millisecond // SIGHUPs are sent from so long before SIGTERM
+		after   = 2 * time.Millisecond  // until so long after it
+	)
+	s := startVMs(t, 12, nil)
+	for _, p := range s.vms {
+		var hangups sync.WaitGroup
+		until := time.Now().Add(before + after)
+		for range senders {
+			hangups.Go(func() {
+				for time.Now().Before(until) {
+					p.signal(syscall.SIGHUP)
+				}
+			})
+		}
+		time.Sleep(before)
+		p.signal(syscall.SIGTERM)
+		hangups.Wait()
+	}
+	timeout := time.After(shutdownTimeout)
+	for _, p := range s.vms {
+		select {
+		case err := <-p.exited:
+			require.NoError(t, err)
+			p.exited <- nil // close receives it
+		case <-timeout:
+			require.Fail(t, "VM goes on after SIGTERM", p.name)
+		}
+	}
+}
