--- a/cmd/soak/inject.go
+++ b/cmd/soak/inject.go
@@ -20,7 +20,7 @@
 		p.pause()
 	case 4, 5:
 		for _, o := range s.vms {
-			if o.paused {
+			if o.paused.Load() {
 				o.resume()
 			}
 		}
@@ -61,13 +61,14 @@
 func (s *soak) clearFaults() {
 	s.platform.Store.SetFaults(fleet.StoreFaults{})
 	s.platform.Fleet.SetOrderFaults(0, 0)
+	s.platform.Fleet.SetRenewalFaults(0, 0)
 	s.workerProxy.SetMode(proxy.Pass)
 	for i := range s.Workers {
 		s.platform.Fleet.Cut(fmt.Sprintf("k%d", i), false)
 	}
 	for _, p := range s.vms {
 		p.storeProxy.SetMode(proxy.Pass)
-		if p.paused {
+		if p.paused.Load() {
 			p.resume()
 		}
 	}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -34,6 +34,13 @@
 		Workers int
 		Binary  string
 		Logs    string
+		Work    string // randomFaults, plannedWork or allWork
+		Clients int
+		Rate    float64 // jobs per second of all clients
+		CPUs    int     // number of processors that all VMs share; 0 for all
+		Quota   bool    // limit the processor time of each VM
+		Calm    time.Duration
+		Wrap    func(http.Handler) http.Handler // wraps the handler of the platform; nil for none
 	}
 
 	// soak is the run of one seed.
@@ -55,6 +62,9 @@
 		refused   int
 		accepted  map[string]string // newest known state by job ID
 		failures  []string
+		counts    counts
+		rotation  []*process // VMs that the load balancer uses
+		published time.Time  // of the newest configuration
 	}
 )
 
@@ -78,6 +88,7 @@
 
 		return 300*time.Millisecond + time.Duration(x*float64(3*time.Second)), target.Done
 	}
+	s.platform.Fleet.CrossIncarnations = c.Work == allWork
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, errors.Wrap(err, "create directory")
@@ -97,7 +108,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: readyTimeout}
+	handler := s.platform.Handler()
+	if s.Wrap != nil {
+		handler = s.Wrap(handler)
+	}
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
 	go func() {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			s.failf("emulated platform stopped: %v", err)
@@ -114,16 +129,25 @@
 			return err
 		}
 		s.vms = append(s.vms, p)
+		if s.Work != randomFaults && i%addedShare == addedShare-1 {
+			continue // it is added during the run
+		}
 		if err := p.start(); err != nil {
 			return err
 		}
 	}
+	if s.Quota {
+		go s.limitCPU()
+	}
 
 	return s.awaitReady()
 }
 
 func (s *soak) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
+	s.published = time.Now()
 	s.platform.PublishConfig(s.version)
 }
 
@@ -132,7 +156,7 @@
 	for time.Now().Before(until) {
 		n := 0
 		for _, p := range s.vms {
-			if p.ready(s.ctx) {
+			if p.pid.Load() == 0 || p.ready(s.ctx) {
 				n++
 			}
 		}
@@ -153,7 +177,21 @@
 
 // run injects faults under load, then ends all faults and waits for all jobs to end. It
 // returns the failures.
-func (s *soak) run(faultTime, settleTime time.Duration) []string {
+func (s *soak) run(faultTime time.Duration) []string {
+	if s.Work == randomFaults {
+		s.runFaults(faultTime)
+	} else {
+		s.runPlanned(faultTime)
+	}
+	for _, f := range s.platform.Fleet.Violations() {
+		s.failf("workers: %s", f)
+	}
+
+	return s.failures
+}
+
+// runFaults injects faults while jobs are submitted and queried.
+func (s *soak) runFaults(faultTime time.Duration) {
 	var wait sync.WaitGroup
 	traffic, stop := context.WithCancel(s.ctx)
 	wait.Go(func() { s.submitAll(traffic) })
@@ -167,12 +205,7 @@
 	s.clearFaults()
 	stop()
 	wait.Wait()
-	s.awaitCompletion(settleTime)
-	for _, f := range s.platform.Fleet.Violations() {
-		s.failf("workers: %s", f)
-	}
-
-	return s.failures
+	s.awaitCompletion(s.Calm)
 }
 
 // awaitCompletion polls until all accepted jobs have ended, for at most the given time.
