Failing tests: bodies of calls between VMs, and jobs that wait for the store

Hostile clients can still end a process. TestHostileCalls sends bodies to the ports that are not for callers, and calls between VMs to the listener of serve; TestHostileJobs submits whole jobs of legal size while the store answers no appends. Both use 64 MB and 1,200 descriptors, which allow 245 connections. Bound: 64 MB. TestHostileClients keeps its 400 descriptors.

--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,34 +29,40 @@
 	"sesameyoke/platform/standin"
 )
 
-// The crowd and the bounds of TestHostileClients. They are not adapted to the code.
+// The crowd and the bounds of the tests with hostile clients. They are not adapted to the code.
 const (
 	hostileClients   = 256
-	hostileMemoryMB  = 64  // resident memory and bytes that the process has not read yet
-	hostileFDs       = 400 // limit in the settings
-	hostileFileFDs   = 200 // of hostileFDs, descriptors that connections must leave for files
+	hostileMemoryMB  = 64   // resident memory and bytes that the process has not read yet
+	hostileFDs       = 400  // limit in the settings of TestHostileClients: 50 connections
+	hostileManyFDs   = 1200 // limit in the settings of the other tests: 245 connections
+	hostileFileFDs   = 200  // of these, descriptors that connections must leave for files
 	hostileSendTime  = 2 * time.Second
 	hostileSample    = 20 * time.Millisecond
-	hostileFirstPort = 32100 // above the ports of soaks and below those of outgoing connections
+	hostileFirstPort = 32100           // above the ports of soaks and below those of outgoing connections
+	hostileJobHold   = 3 * time.Second // for which the store answers no appends in TestHostileJobs
+	hostileJobBytes  = 250_000         // about the size of the jobs in TestHostileJobs
 )
 
 type (
 	// attack is what each hostile client sends.
 	attack struct {
 		name, head, piece string
-		pieces            int
+		pieces, clients   int
 	}
 
 	// target is the process under attack.
 	target struct {
 		pid     int
-		address string
+		address string // of the listener for ordinary callers
+		victim  string // address of the listener under attack
+		call    string // request line and headers of a request to the victim
 		exited  chan error
 		path    func(n int) string // path of the n-th submission
 		headers string
 		body    string
 		status  int // of the answer to a submission
 		sent    int // submissions so far
+		fds     int // limit in its settings
 	}
 
 	// usage is what a process needed at most.
@@ -69,31 +77,127 @@
 // It guards against a process that hostile clients end by using up its memory or its descriptors, or
 // that gives ordinary callers no answer while they stay connected or after they have left.
 func TestHostileClients(t *testing.T) {
+	binary := buildBinary(t)
+	for _, a := range readAttacks(t, "testdata/hostile") {
+		t.Run("entry/"+a.name, func(t *testing.T) { a.run(t, startEntry(t, binary, hostileFDs, answerAtOnce)) })
+		t.Run("serve/"+a.name, func(t *testing.T) { a.run(t, startServe(t, binary, hostileFDs)) })
+	}
+}
+
+// TestHostileCalls attacks the listeners that are not for callers, and the calls between VMs on the
+// listener of serve. It guards against a process that ends because these bodies have no limit.
+func TestHostileCalls(t *testing.T) {
+	binary := buildBinary(t)
+	listeners := []struct {
+		name, request string
+		port          int // relative to the port of callers
+	}{
+		{"peers", "POST /twirp/sesameyoke.planner.Planner/Submit", -2},
+		{"metrics", "POST /metrics", -1},
+		{"readiness", "GET /ready", 1},
+	}
+	for _, a := range readAttacks(t, "testdata/hostile-calls") {
+		for _, l := range listeners {
+			t.Run("entry/"+l.name+"/"+a.name, func(t *testing.T) {
+				to := startEntry(t, binary, hostileManyFDs, answerAtOnce)
+				to.victim, to.call = portAfter(t, to.address, l.port), callTo(l.request)
+				a.run(t, to)
+			})
+		}
+		t.Run("serve/"+a.name, func(t *testing.T) {
+			to := startServe(t, binary, hostileManyFDs)
+			to.call = callTo("POST /twirp/sesameyoke.entry.Entry/Offer")
+			a.run(t, to)
+		})
+	}
+}
+
+// TestHostileJobs submits large jobs while the store answers no appends. It guards against a process
+// that ends because no limit counts the decoded jobs that wait for the store.
+func TestHostileJobs(t *testing.T) {
+	binary := buildBinary(t)
+	for name, body := range map[string]string{
+		"dependencies": `{"steps":[{"count":1},{"count":1,"dependsOn":[0` + strings.Repeat(",0", hostileJobBytes/2) + `]}]}`,
+		"image":        `{"steps":[{"count":1,"image":"` + strings.Repeat("a", hostileJobBytes) + `"}]}`,
+		"small":        `{"steps":[{"count":1},{"count":1,"dependsOn":[0` + strings.Repeat(",0", 8000) + `]}]}`,
+	} {
+		head := fmt.Sprintf("$JOBDeadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		t.Run(name, func(t *testing.T) { attack{name: name, head: head, clients: hostileClients}.runWithoutStore(t, binary) })
+	}
+}
+
+// runWithoutStore is run with a store that answers no appends until the crowd has sent its requests and
+// hostileJobHold has passed. What the crowd submits may fill the planner, so that the ordinary call
+// afterwards is not a submission.
+func (a attack) runWithoutStore(t *testing.T, binary string) {
+	var stopped atomic.Bool
+	answer := make(chan struct{})
+	to := startEntry(t, binary, hostileManyFDs, func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if stopped.Load() && strings.HasSuffix(r.URL.Path, "-append") {
+				select {
+				case <-answer:
+				case <-r.Context().Done():
+				}
+			}
+			h.ServeHTTP(w, r)
+		})
+	})
+	to.await(t, "before the attack", "")
+	stopped.Store(true)
+	most := a.attackDuring(t, to, func() {
+		time.Sleep(hostileJobHold)
+		close(answer)
+		to.awaitStatus(t, "during the attack", func() string { return to.send("GET", standin.QueuePrefix, "") })
+	})
+	to.awaitStatus(t, "after the attack", func() string { return to.send("GET", standin.QueuePrefix, "") })
+	most.check(t, to.fds)
+}
+
+func buildBinary(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "sesameyoke")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, ".").CombinedOutput()
 	require.NoError(t, err, string(out))
-	attacks := readAttacks(t)
-	for _, a := range attacks {
-		t.Run("entry/"+a.name, func(t *testing.T) { a.run(t, startEntry(t, binary)) })
-		t.Run("serve/"+a.name, func(t *testing.T) { a.run(t, startServe(t, binary)) })
-	}
+
+	return binary
+}
+
+func answerAtOnce(h http.Handler) http.Handler { return h }
+
+func callTo(request string) string {
+	return request + " HTTP/1.1\r\nHost: a\r\nContent-Type: application/protobuf\r\n"
 }
 
-// excess lists the bounds that are exceeded.
-func (u usage) excess() []string {
+// portAfter returns the address with a port that is higher by n.
+func portAfter(t *testing.T, address string, n int) string {
+	a, err := netip.ParseAddrPort(address)
+	require.NoError(t, err)
+
+	return netip.AddrPortFrom(a.Addr(), uint16(int(a.Port())+n)).String()
+}
+
+// check fails the test if a bound is exceeded.
+func (u usage) check(t *testing.T, fds int) {
+	t.Logf("attack=%s memoryKB=%d fds=%d", t.Name(), u.memoryKB, u.fds)
+	require.Empty(t, u.excess(fds))
+}
+
+// excess lists the bounds that are exceeded, given the limit of descriptors.
+func (u usage) excess(fds int) []string {
 	var list []string
 	if u.memoryKB >= hostileMemoryMB<<10 {
 		list = append(list, fmt.Sprintf("memory %d KB of %d", u.memoryKB, hostileMemoryMB<<10))
 	}
-	if u.fds > hostileFDs-hostileFileFDs {
-		list = append(list, fmt.Sprintf("descriptors %d of %d", u.fds, hostileFDs-hostileFileFDs))
+	if u.fds > fds-hostileFileFDs {
+		list = append(list, fmt.Sprintf("descriptors %d of %d", u.fds, fds-hostileFileFDs))
 	}
 
 	return list
 }
 
-func readAttacks(t *testing.T) []attack {
-	b, err := os.ReadFile("testdata/hostile")
+// readAttacks reads a file of attacks. A line that doesn't tell the number of clients is for hostileClients.
+func readAttacks(t *testing.T, path string) []attack {
+	b, err := os.ReadFile(path)
 	require.NoError(t, err)
 	var all []attack
 	for line := range strings.Lines(string(b)) {
@@ -101,10 +205,15 @@
 			continue
 		}
 		f := strings.Split(strings.TrimSpace(line), "|")
-		require.Len(t, f, 4, line)
+		if len(f) == 4 {
+			f = append(f, strconv.Itoa(hostileClients))
+		}
+		require.Len(t, f, 5, line)
 		pieces, err := strconv.Atoi(strings.TrimSpace(f[3]))
 		require.NoError(t, err)
-		all = append(all, attack{strings.TrimSpace(f[0]), expand(f[1]), expand(f[2]), pieces})
+		clients, err := strconv.Atoi(strings.TrimSpace(f[4]))
+		require.NoError(t, err)
+		all = append(all, attack{strings.TrimSpace(f[0]), expand(f[1]), expand(f[2]), pieces, clients})
 	}
 
 	return all
@@ -122,30 +231,36 @@
 // run attacks the target, submits a job during and after the attack, and checks what the target needed.
 func (a attack) run(t *testing.T, to *target) {
 	to.await(t, "before the attack", "")
+	most := a.attackDuring(t, to, func() { to.await(t, "during the attack", "") })
+	to.await(t, "after the attack", strings.Repeat(" ", 200_000))
+	most.check(t, to.fds)
+}
+
+// attackDuring runs f when the crowd has sent its requests and is still connected, and returns what the
+// target needed.
+func (a attack) attackDuring(t *testing.T, to *target, f func()) (most usage) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var watch, crowd, sending sync.WaitGroup
-	var most usage
 	watch.Go(func() { most = to.watch(ctx) })
 	leave := make(chan struct{})
-	sending.Add(hostileClients)
-	for i := range hostileClients {
+	sending.Add(a.clients)
+	for i := range a.clients {
 		crowd.Go(func() { a.attend(to, i, sending.Done, leave) })
 	}
 	sending.Wait()
-	to.await(t, "during the attack", "")
+	f()
 	close(leave)
 	crowd.Wait()
-	to.await(t, "after the attack", strings.Repeat(" ", 200_000))
 	cancel()
 	watch.Wait()
-	t.Logf("attack=%s memoryKB=%d fds=%d", t.Name(), most.memoryKB, most.fds)
-	require.Empty(t, most.excess())
+
+	return most
 }
 
 // attend is one hostile client. Its errors don't matter: the target may close the connection.
 func (a attack) attend(to *target, i int, sent func(), leave <-chan struct{}) {
-	conn, err := net.Dial("tcp", to.address)
+	conn, err := net.Dial("tcp", to.victim)
 	if err != nil {
 		sent()
 
@@ -155,7 +270,7 @@
 	_ = conn.SetDeadline(time.Now().Add(hostileSendTime))
 	job := fmt.Sprintf("POST %s HTTP/1.1\r\n%s", to.path(1000+i), to.headers)
 	w := bufio.NewWriterSize(conn, 16<<10)
-	_, err = w.WriteString(strings.ReplaceAll(a.head, "$JOB", job))
+	_, err = w.WriteString(strings.NewReplacer("$JOB", job, "$CALL", to.call).Replace(a.head))
 	for range a.pieces {
 		if err != nil {
 			break
@@ -169,6 +284,11 @@
 
 // await submits a job until it is answered. The padding precedes the body.
 func (to *target) await(t *testing.T, when, padding string) {
+	to.awaitStatus(t, when, func() string { return to.submit(padding) })
+}
+
+// awaitStatus makes a call until it has the status of an answer.
+func (to *target) awaitStatus(t *testing.T, when string, call func() string) {
 	last := ""
 	for until := time.Now().Add(awaitLimit); time.Now().Before(until); time.Sleep(5 * awaitInterval) {
 		select {
@@ -176,24 +296,29 @@
 			require.FailNow(t, "process ended", "%s: %v", when, err)
 		default:
 		}
-		if last = to.submit(padding); last == strconv.Itoa(to.status) {
+		if last = call(); last == strconv.Itoa(to.status) {
 			return
 		}
 	}
 	require.FailNow(t, "no answer", "%s: last outcome: %s", when, last)
 }
 
-// submit submits a job on a connection of its own, and returns the status or the error.
+// submit submits a job, and returns the status or the error.
 func (to *target) submit(padding string) string {
+	to.sent++
+
+	return to.send("POST", to.path(to.sent), padding+to.body)
+}
+
+// send sends a request on a connection of its own, and returns the status or the error.
+func (to *target) send(method, path, body string) string {
 	conn, err := net.DialTimeout("tcp", to.address, time.Second)
 	if err != nil {
 		return err.Error()
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	to.sent++
-	body := padding + to.body
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", to.path(to.sent), to.headers, len(body), body)
+	_, _ = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", method, path, to.headers, len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return err.Error()
@@ -225,10 +350,11 @@
 	return kb
 }
 
-// unreadBytes returns the bytes that the kernel holds for the process on connections of its callers.
+// unreadBytes returns the bytes that the kernel holds for the process on connections of the listener under
+// attack.
 func (to *target) unreadBytes() int {
 	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", to.pid))
-	_, port, _ := net.SplitHostPort(to.address)
+	_, port, _ := net.SplitHostPort(to.victim)
 	n, _ := strconv.Atoi(port)
 	local, sum := fmt.Sprintf(":%04X", n), 0
 	for line := range strings.Lines(string(b)) {
@@ -249,6 +375,7 @@
 	cmd := exec.CommandContext(t.Context(), binary, args...)
 	cmd.Env = append(os.Environ(), env...)
 	require.NoError(t, cmd.Start())
+	to.victim = to.address
 	to.pid, to.exited = cmd.Process.Pid, make(chan error, 1)
 	ended := make(chan struct{})
 	go func() {
@@ -292,17 +419,19 @@
 	return s.Listener.Addr().String()
 }
 
-func startEntry(t *testing.T, binary string) *target {
+// startEntry starts a process whose store is wrapped.
+func startEntry(t *testing.T, binary string, fds int, wrap func(http.Handler) http.Handler) *target {
 	p := &standin.Platform{Store: fleet.NewStore(rand.Float64), Fleet: fleet.NewFleet(rand.Float64)}
 	p.PublishConfig(1)
-	address := serveStandin(t, p.Handler())
+	address := serveStandin(t, wrap(p.Handler()))
 	first := freePorts(t, 4)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
 	file := string(standin.SettingsFile("a", at(2), at(3), address, first, first+1))
-	file = strings.Replace(file, "memoryMb: 284", fmt.Sprintf("memoryMb: %d, maxFds: %d", hostileMemoryMB, hostileFDs), 1)
+	file = strings.Replace(file, "memoryMb: 284", fmt.Sprintf("memoryMb: %d, maxFds: %d", hostileMemoryMB, fds), 1)
 	settings := writeSettings(t, file)
 
 	return startProcess(t, &target{
+		fds:     fds,
 		address: at(2), status: http.StatusOK, path: func(n int) string { return fmt.Sprintf("%s%016x", standin.QueuePrefix, n) },
 		headers: fmt.Sprintf("Host: %s\r\nAuthorization: Bearer %s\r\n", standin.QueueHost, standin.APIKey),
 		body:    `{"steps":[{"count":1,"cpu":1,"estimateMs":1}]}`,
@@ -310,13 +439,14 @@
 }
 
 // startServe starts a process without contracts, which answers each submission with code 12.
-func startServe(t *testing.T, binary string) *target {
+func startServe(t *testing.T, binary string, fds int) *target {
 	log, list := serveStandin(t, standinlog.New().Handler()), serveStandin(t, vms.New(0).Handler())
 	address := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
 	settings := writeSettings(t, fmt.Sprintf("name: a\nregion: x\ndomain: d\nlisten: %s\nlog: http://%s\nvms: http://%s\ntoken: token-of-test\nloglevel: error\n"+
-		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileMemoryMB, hostileFDs))
+		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileMemoryMB, fds))
 
 	return startProcess(t, &target{
+		fds:     fds,
 		address: address, status: http.StatusNotFound, path: func(int) string { return "/v1/jobs" }, headers: "Host: a\r\n",
 		body: `{"workspace":"w","id":"j","shape":{"members":1,"width":1},"run":"1s","idempotent":true}`,
 	}, binary, nil, "serve", "-f", settings)
