serve bounds the size of the calls of other VMs

A single client ended a process of serve: it sent a call below /twirp/ without end, or with a declared length of 1 GB, and the process kept all of it. The limit of all bodies together allows one body to exceed it, and only callers and operators bounded the size of one.

The bound is 6 times the largest legal body and 64 KB, so that an offered job fits whatever its escapes.

--- a/internal/run/serve/serve.go
+++ b/internal/run/serve/serve.go
@@ -41,6 +41,11 @@
 	idleTimeout  = 2 * time.Minute
 	pollInterval = 20 * time.Millisecond // interval between checks of a condition that is waited for
 
+	// Calls of other VMs have bodies of at most jobEscapes times the largest legal job and callBytes: JSON
+	// may escape each byte of an offered job with six.
+	jobEscapes = 6
+	callBytes  = 64 << 10
+
 	// leaveGracePeriod is how long a leaving VM continues to answer requests after
 	// its peers and the load balancer have been notified, before it closes its
 	// listener.
@@ -240,7 +245,7 @@
 		Members: v.members, Tail: func(s string) *log.Tail { return v.tails[s] },
 		Offer: v.handleOffer, IsPlanner: v.IsPlanner, Racks: v.ownRacks,
 	}
-	r.Handle("/twirp/*", peers.Handler())
+	r.Handle("/twirp/*", http.MaxBytesHandler(peers.Handler(), jobEscapes*v.Settings.Limits.MaxBody+callBytes))
 	r.Handle("/metrics", v.metrics.Handler)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.Get("/readyz", v.readyz)
