Calls of other VMs are bounded on entry, too

The listeners of entry that are not for callers bounded their connections only. A crowd that reaches the port for calls between VMs took 256 KB and more a connection, and a single client with a body without end took what it sent. The same happens to the planner without such access: large jobs that callers submit to many VMs arrive there together. Their kernel buffers had no bound either: 6 MB each by default.

These listeners now have the limits of callers, with a budget of their own for bodies, and a call has at most the size of the store's largest append and 512 KB.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -21,6 +21,7 @@
 	"sesameyoke/internal/peer/limit"
 	"sesameyoke/internal/peer/planner"
 	"sesameyoke/internal/peer/rest"
+	"sesameyoke/internal/peer/store"
 	"sesameyoke/internal/run/engine"
 	"sesameyoke/internal/run/entry"
 	"sesameyoke/internal/run/lead"
@@ -54,9 +55,10 @@
 	configPollWait          = time.Second            // long-poll wait of one read of the configuration
 	singleCoreTakeoverDelay = 60 * time.Millisecond  // a VM with one core waits this long for stronger VMs to take a free lease; inversely proportional to the cores
 	maxTakeoverDelay        = 400 * time.Millisecond
-	minCores                = 0.05 // lower limit of the cores in the calculation of the takeover delay
-	sideShare               = 8    // connections of the readiness and metrics listeners each, as a fraction of those of callers
-	metricsPortOffset       = 1    // from the first port for calls between VMs; deploy/system.toml must agree with it
+	minCores                = 0.05      // lower limit of the cores in the calculation of the takeover delay
+	sideShare               = 8         // connections of the readiness and metrics listeners each, as a fraction of those of callers
+	callOverhead            = 512 << 10 // bytes of a call with an append of the largest size beyond those of the append: 10 for each record of 50 bytes
+	metricsPortOffset       = 1         // from the first port for calls between VMs; deploy/system.toml must agree with it
 )
 
 func entryCommand() *cli.Command {
@@ -173,14 +175,15 @@
 	callers := limit.Defaults(v.settings.MemoryMB, v.settings.MaxFDs, 0)
 	callers.IdleTimeout, callers.Log = idleTimeout, v.log
 	callers.Count = func(name string) { v.count(name, 1) }
-	peers, few := callers.Internal(callers.Connections), callers.Internal(callers.Connections/sideShare)
+	peers := callers.Internal(callers.Connections, v.callBytes())
+	few := callers.Internal(callers.Connections/sideShare, callers.BodyBytes)
 	metricsAddress := net.JoinHostPort(v.settings.IP, strconv.Itoa(v.settings.Ports[0]+metricsPortOffset))
 	for address, l := range map[string]struct {
 		limit.Config
 		http.Handler
 	}{
 		v.settings.Frontend: {callers, in.Frontend()}, v.settings.Readiness: {few, in.Readiness()},
-		v.entry.Address: {peers, v.entry.Server().Handler()}, metricsAddress: {few, v.metricsHandler()},
+		v.entry.Address: {peers, http.MaxBytesHandler(v.entry.Server().Handler(), peers.BodyBytes)}, metricsAddress: {few, v.metricsHandler()},
 	} {
 		if err := v.listen(ctx, address, limit.New(l.Config), l.Handler); err != nil {
 			return err
@@ -193,6 +196,16 @@
 	return nil
 }
 
+// callBytes returns the largest size of a call of another VM: an append to the store that it makes through
+// this one.
+func (v *vm) callBytes() int64 {
+	if v.settings.RequestBytes == 0 {
+		return store.DefaultRequestBytes + callOverhead
+	}
+
+	return int64(v.settings.RequestBytes) + callOverhead
+}
+
 // listen serves the handler at the address until the shutdown.
 func (v *vm) listen(ctx context.Context, address string, clients *limit.Server, h http.Handler) error {
 	ln, err := clients.Listen(ctx, address)
--- a/internal/peer/limit/limit.go
+++ b/internal/peer/limit/limit.go
@@ -93,10 +93,11 @@
 	}
 }
 
-// Internal returns the limits of a listener for calls from inside the deployment, with a part of the
-// connections: its bodies are not limited here.
-func (c Config) Internal(connections int) Config {
-	c.Connections, c.ReceiveBuffer, c.BodyBudget, c.BodyTimeout = max(minConnections, connections), 0, 0, 0
+// Internal returns the limits of a listener for calls from inside the deployment, whose largest legal body
+// has the given size. It has a budget for bodies of its own, and c the other one.
+func (c Config) Internal(connections int, bodyBytes int64) Config {
+	c.Connections, c.BodyBytes = max(minConnections, connections), bodyBytes
+	c.BodyBudget = max(c.BodyBudget, bodyCopies*bodyBytes)
 
 	return c
 }
--- a/internal/peer/limit/limit_test.go
+++ b/internal/peer/limit/limit_test.go
@@ -230,6 +230,7 @@
 			c := Defaults(memoryMB, fds, 0)
 			require.GreaterOrEqual(t, c.BodyBudget, 2*c.BodyBytes)
 			require.GreaterOrEqual(t, c.Connections, minConnections)
+			require.GreaterOrEqual(t, c.Internal(0, 4<<20).BodyBudget, int64(8<<20))
 			if memoryMB >= 64 && fds >= 400 {
 				most := int64(c.Connections)*connectionBytes + c.BodyBudget
 				require.LessOrEqual(t, most, int64(memoryMB)<<20/2)
