A job keeps its share of the memory for bodies until it is stored

While the store was slow, callers' whole jobs of legal size ended a process: the share of the memory for bodies was returned as soon as a body was decoded, and each connection then kept the job, its record and the call to the store until the deadline that the caller chose.

The share is now returned when the handler ends; that of a chunked body shrinks to its size at its end.

--- a/internal/peer/limit/body.go
+++ b/internal/peer/limit/body.go
@@ -133,6 +133,7 @@
 		return err
 	}
 	b.complete = true
+	b.reduce(bodyCopies * max(0, b.read-freeBodyBytes))
 	b.conn.body, b.conn.phase = nil, answering
 	if s.BodyTimeout > 0 { // the server now waits for the end of the connection by a read
 		_ = b.conn.SetReadDeadline(time.Time{}) // fails on a closed connection only
@@ -209,7 +210,8 @@
 	s.note("bodies_evicted")
 }
 
-// Close returns the share of the body. Call it when the body has been decoded.
+// Close returns the share of the body, which is otherwise returned when the handler ends. Call it when the
+// handler keeps nothing of the body while it waits.
 func (b *body) Close() error {
 	b.server.mu.Lock()
 	defer b.server.mu.Unlock()
@@ -221,13 +223,16 @@
 }
 
 // release returns the share of the body. The lock is held.
-func (b *body) release() {
-	if b.reserved == 0 {
+func (b *body) release() { b.reduce(0) }
+
+// reduce returns what the share exceeds size by. The lock is held.
+func (b *body) reduce(size int64) {
+	if b.reserved <= size {
 		return
 	}
 	s := b.server
-	s.reserved -= b.reserved
-	b.reserved = 0
+	s.reserved -= b.reserved - size
+	b.reserved = size
 	close(s.freed)
 	s.freed = make(chan struct{})
 }
--- a/internal/peer/limit/limit_test.go
+++ b/internal/peer/limit/limit_test.go
@@ -223,6 +223,35 @@
 	require.Equal(t, http.StatusTooManyRequests, status(t, stalled))
 }
 
+// TestShareOfWaitingHandler lets handlers wait after they have read their bodies. It guards against bodies
+// that take memory without a share while their handlers wait, and against a share that exceeds the body.
+func TestShareOfWaitingHandler(t *testing.T) {
+	read, leave := make(chan bool), make(chan bool)
+	change := func(c *Config) { c.BodyTimeout, c.BodyWait, c.BodyBudget = time.Hour, 300*time.Millisecond, 2*c.BodyBytes }
+	address := start(t, change, func(w http.ResponseWriter, r *http.Request) {
+		readAll(w, r)
+		if r.Header.Get("Wait") != "" {
+			read <- true
+			<-leave
+		}
+	})
+	waiting := func(header, body string) net.Conn {
+		c := send(t, address, "POST / HTTP/1.1\r\nHost: a\r\nWait: 1\r\n"+header+"\r\n\r\n"+body)
+		<-read
+
+		return c
+	}
+	large := post(200_000) + strings.Repeat("a", 200_000)
+	chunked := waiting("Transfer-Encoding: chunked", "5000\r\n"+strings.Repeat("a", 0x5000)+"\r\n0\r\n\r\n")
+	require.Equal(t, http.StatusOK, status(t, send(t, address, large)))
+	declared := waiting("Content-Length: 200000", strings.Repeat("a", 200_000))
+	require.Equal(t, http.StatusTooManyRequests, status(t, send(t, address, large)))
+	close(leave)
+	require.Equal(t, http.StatusOK, status(t, chunked))
+	require.Equal(t, http.StatusOK, status(t, declared))
+	require.Equal(t, http.StatusOK, status(t, send(t, address, large)))
+}
+
 // TestDefaults guards against limits that exceed the process or that no legal request fits in.
 func TestDefaults(t *testing.T) {
 	for _, memoryMB := range []int{0, 1, 64, 144, 536} {
