Test: all attacks at once on all listeners of entry

It guards against limits that hold for each listener, but not for the process. The bytes that the kernel holds are now summed over all listeners of the process, also in the other tests.

--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -60,9 +60,10 @@
 		path    func(n int) string // path of the n-th submission
 		headers string
 		body    string
-		status  int // of the answer to a submission
-		sent    int // submissions so far
-		fds     int // limit in its settings
+		status  int   // of the answer to a submission
+		sent    int   // submissions so far
+		fds     int   // limit in its settings
+		ports   []int // of its listeners
 	}
 
 	// usage is what a process needed at most.
@@ -71,6 +72,16 @@
 	}
 )
 
+// entryListeners are the listeners of entry that are not for callers, with a request to each.
+var entryListeners = []struct {
+	name, request string
+	port          int // relative to the port of callers
+}{
+	{"peers", "POST /twirp/sesameyoke.planner.Planner/Submit", -2},
+	{"metrics", "POST /metrics", -1},
+	{"readiness", "GET /ready", 1},
+}
+
 var repeated = regexp.MustCompile(`(.)\*(\d+)`)
 
 // TestHostileClients attacks real processes, with limits of memory and of descriptors in their settings.
@@ -88,16 +99,8 @@
 // listener of serve. It guards against a process that ends because these bodies have no limit.
 func TestHostileCalls(t *testing.T) {
 	binary := buildBinary(t)
-	listeners := []struct {
-		name, request string
-		port          int // relative to the port of callers
-	}{
-		{"peers", "POST /twirp/sesameyoke.planner.Planner/Submit", -2},
-		{"metrics", "POST /metrics", -1},
-		{"readiness", "GET /ready", 1},
-	}
 	for _, a := range readAttacks(t, "testdata/hostile-calls") {
-		for _, l := range listeners {
+		for _, l := range entryListeners {
 			t.Run("entry/"+l.name+"/"+a.name, func(t *testing.T) {
 				to := startEntry(t, binary, hostileManyFDs, answerAtOnce)
 				to.victim, to.call = portAfter(t, to.address, l.port), callTo(l.request)
@@ -112,6 +115,29 @@
 	}
 }
 
+// TestHostileMix attacks all listeners of entry at once, each with all attacks. It guards against limits
+// that hold for each listener, but not for the process.
+func TestHostileMix(t *testing.T) {
+	to := startEntry(t, buildBinary(t), hostileManyFDs, answerAtOnce)
+	var senders []func(sent func(), leave <-chan struct{})
+	add := func(victim, call string, attacks []attack) {
+		on := *to
+		on.victim, on.call = victim, call
+		for i := range hostileClients {
+			a := attacks[i%len(attacks)]
+			senders = append(senders, func(sent func(), leave <-chan struct{}) { a.attend(&on, i, sent, leave) })
+		}
+	}
+	add(to.address, "", readAttacks(t, "testdata/hostile"))
+	for _, l := range entryListeners {
+		add(portAfter(t, to.address, l.port), callTo(l.request), readAttacks(t, "testdata/hostile-calls"))
+	}
+	to.await(t, "before the attack", "")
+	most := to.attackDuring(t, senders, func() { to.await(t, "during the attack", "") })
+	to.await(t, "after the attack", strings.Repeat(" ", 200_000))
+	most.check(t, to.fds)
+}
+
 // TestHostileJobs submits large jobs while the store answers no appends. It guards against a process
 // that ends because no limit counts the decoded jobs that wait for the store.
 func TestHostileJobs(t *testing.T) {
@@ -145,7 +171,7 @@
 	})
 	to.await(t, "before the attack", "")
 	stopped.Store(true)
-	most := a.attackDuring(t, to, func() {
+	most := to.attackDuring(t, a.crowd(to), func() {
 		time.Sleep(hostileJobHold)
 		close(answer)
 		to.awaitStatus(t, "during the attack", func() string { return to.send("GET", standin.QueuePrefix, "") })
@@ -231,22 +257,32 @@
 // run attacks the target, submits a job during and after the attack, and checks what the target needed.
 func (a attack) run(t *testing.T, to *target) {
 	to.await(t, "before the attack", "")
-	most := a.attackDuring(t, to, func() { to.await(t, "during the attack", "") })
+	most := to.attackDuring(t, a.crowd(to), func() { to.await(t, "during the attack", "") })
 	to.await(t, "after the attack", strings.Repeat(" ", 200_000))
 	most.check(t, to.fds)
 }
 
+// crowd returns the clients of the attack.
+func (a attack) crowd(to *target) []func(sent func(), leave <-chan struct{}) {
+	var senders []func(sent func(), leave <-chan struct{})
+	for i := range a.clients {
+		senders = append(senders, func(sent func(), leave <-chan struct{}) { a.attend(to, i, sent, leave) })
+	}
+
+	return senders
+}
+
 // attackDuring runs f when the crowd has sent its requests and is still connected, and returns what the
 // target needed.
-func (a attack) attackDuring(t *testing.T, to *target, f func()) (most usage) {
+func (to *target) attackDuring(t *testing.T, senders []func(sent func(), leave <-chan struct{}), f func()) (most usage) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var watch, crowd, sending sync.WaitGroup
 	watch.Go(func() { most = to.watch(ctx) })
 	leave := make(chan struct{})
-	sending.Add(a.clients)
-	for i := range a.clients {
-		crowd.Go(func() { a.attend(to, i, sending.Done, leave) })
+	sending.Add(len(senders))
+	for _, send := range senders {
+		crowd.Go(func() { send(sending.Done, leave) })
 	}
 	sending.Wait()
 	f()
@@ -350,21 +386,22 @@
 	return kb
 }
 
-// unreadBytes returns the bytes that the kernel holds for the process on connections of the listener under
-// attack.
+// unreadBytes returns the bytes that the kernel holds for the process on connections of its listeners.
 func (to *target) unreadBytes() int {
 	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", to.pid))
-	_, port, _ := net.SplitHostPort(to.victim)
-	n, _ := strconv.Atoi(port)
-	local, sum := fmt.Sprintf(":%04X", n), 0
+	unread := map[string]int{} // by local address
 	for line := range strings.Lines(string(b)) {
 		f := strings.Fields(line)
-		if len(f) < 5 || !strings.HasSuffix(f[1], local) || f[3] == "0A" { // 0A: a listener, which shows its backlog
+		if len(f) < 5 || f[3] == "0A" { // 0A: a listener, which shows its backlog
 			continue
 		}
-		_, unread, _ := strings.Cut(f[4], ":")
-		bytes, _ := strconv.ParseInt(unread, 16, 64)
-		sum += int(bytes)
+		_, queue, _ := strings.Cut(f[4], ":")
+		bytes, _ := strconv.ParseInt(queue, 16, 64)
+		unread[f[1]] += int(bytes)
+	}
+	sum := 0
+	for _, port := range to.ports {
+		sum += unread[fmt.Sprintf("0100007F:%04X", port)]
 	}
 
 	return sum
@@ -441,7 +478,8 @@
 // startServe starts a process without contracts, which answers each submission with code 12.
 func startServe(t *testing.T, binary string, fds int) *target {
 	log, list := serveStandin(t, standinlog.New().Handler()), serveStandin(t, vms.New(0).Handler())
-	address := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
+	port := freePorts(t, 1)
+	address := fmt.Sprintf("127.0.0.1:%d", port)
 	settings := writeSettings(t, fmt.Sprintf("name: a\nregion: x\ndomain: d\nlisten: %s\nlog: http://%s\nvms: http://%s\ntoken: token-of-test\nloglevel: error\n"+
 		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileMemoryMB, fds))
 
