SIGTERM isn't dropped among several SIGHUPs

A VM that was told to stop went on, took requests, and was killed at the end of the grace period while it answered. Both signals came by one channel of two places, and os/signal drops what finds it full. Each has a channel of its own now.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -242,29 +242,37 @@
 }
 
 // awaitShutdown returns when the context ends or a termination signal arrives. On
-// SIGHUP it only validates the settings file.
+// SIGHUP it only validates the settings file. Each kind of signal has a channel of its own: a full one
+// drops further signals, and SIGTERM must not get lost among several SIGHUPs.
 func (v *vm) awaitShutdown(ctx context.Context) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	terminations, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminations, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-signals:
+		case s := <-terminations:
 			v.log.Info().Str("event", "signal").Str("name", s.String()).Msg("")
-			if s != syscall.SIGHUP {
-				return
-			}
-			if _, err := platform.ReadSettings(); err != nil {
-				v.log.Error().Str("event", "reload-failed").Err(err).Msg("")
 
-				continue
-			}
-			v.log.Info().Str("event", "reloaded").Msg("")
+			return
+		case s := <-hangups:
+			v.log.Info().Str("event", "signal").Str("name", s.String()).Msg("")
+			v.reload()
 		}
 	}
 }
 
+// reload validates the settings file.
+func (v *vm) reload() {
+	if _, err := platform.ReadSettings(); err != nil {
+		v.log.Error().Str("event", "reload-failed").Err(err).Msg("")
+
+		return
+	}
+	v.log.Info().Str("event", "reloaded").Msg("")
+}
+
 // shutdown shuts the VM down gracefully: it hands over the lease, asks callers to
 // reconnect elsewhere and answers the requests in flight. Those that still wait near the end of the grace
 // period are answered with what is known by then.
