A VM that shuts down answers requests that arrive while it closes its connections

Callers saw connections end without an answer after the VM had read their whole request, more than 0.2 s after they had sent it. http.Server.Shutdown closes a connection whose next request it has just read without running the handler, and closes as idle those whose request waits in the kernel. A VM that gets its processor time in portions reads requests late, so this isn't rare: seen with 40 and with 60 real processes on 2 processors, planned work only, one and two requests, 529 to 652 ms after they were sent.

The callers' server drains itself: it goes on until the process has run for 0.2 s without a pause, then reads no new requests, and ends when all that it has read are answered. Clients that have stalled aren't waited for.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -82,7 +82,7 @@
 	entry    *entry.Entry
 	elector  *lead.Elector
 	lag      timer.Lag
-	servers  []*http.Server
+	servers  []*limit.Server
 	requests context.Context    // parent of all requests' contexts
 	giveUp   context.CancelFunc // ends requests
 }
@@ -223,9 +223,9 @@
 	}
 	s := clients.HTTP(h)
 	s.BaseContext = func(net.Listener) context.Context { return v.requests }
-	v.servers = append(v.servers, s)
+	v.servers = append(v.servers, clients)
 	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(ln); !errors.Is(err, net.ErrClosed) {
 			v.log.Error().Str("event", "server-ended").Str("address", address).Err(err).Msg("")
 		}
 	}()
@@ -288,7 +288,7 @@
 	var ending sync.WaitGroup
 	for _, s := range v.servers {
 		ending.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
+			if err := s.Drain(ctx); err != nil {
 				v.log.Warn().Str("event", "shutdown-cut").Err(err).Msg("")
 			}
 		})
--- a/internal/peer/limit/conn.go
+++ b/internal/peer/limit/conn.go
@@ -39,6 +39,7 @@
 
 		server *Server
 		phase  phase
+		begun  bool      // bytes of the current request have been read, or it is being answered
 		paid   time.Time // until when the bytes that have arrived suffice at minRate; of an idle connection, since when it is idle
 		lines  int       // of the head so far
 		long   bool      // counts among Server.long until the next head or the end of the connection
@@ -140,14 +141,18 @@
 func (s *Server) enter(c *conn, p phase) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.phase, c.paid, c.lines = p, s.Now(), 0
+	c.phase, c.paid, c.lines, c.begun = p, s.Now(), 0, p != idle
 	if p == idle {
 		c.endHead()
 	}
 }
 
-// Read reads from the client. It fails if the head has too many lines.
+// Read reads from the client. It fails if the head has too many lines, or if the server drains and the
+// client has not begun a request.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.readsNoMore() {
+		return 0, errDraining
+	}
 	if c.tooManyLines() {
 		return 0, errLines
 	}
@@ -208,6 +213,7 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	now := c.server.Now()
+	c.begun = c.begun || len(b) > 0
 	if c.phase == idle && len(b) > 0 {
 		c.phase, c.paid, c.lines = readingHead, now, 0
 	}
--- a/internal/peer/limit/limit.go
+++ b/internal/peer/limit/limit.go
@@ -58,6 +58,8 @@
 		Config
 
 		mu       sync.Mutex
+		listener net.Listener // nil before Listen
+		draining bool         // no further requests are read
 		conns    map[*conn]bool
 		reserved int64         // bytes of BodyBudget in use
 		long     int           // connections that hold a head of more than headLines
@@ -115,6 +117,10 @@
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = ln
+
 	return &listener{Listener: ln, server: s}, nil
 }
 
