--- a/internal/run/engine/crossincarnation_test.go
+++ b/internal/run/engine/crossincarnation_test.go
@@ -21,7 +21,7 @@
 // certainAcks returns a client that acknowledges ends only to the incarnation that has reported them.
 func (r *rig) certainAcks(c *target.Client) *target.Client {
 	var lock sync.Mutex
-	reported := map[string]int64{} // incarnation of the newest report, by worker
+	reported := map[string]int64{} // incarnation of the newest report to a worker's session
 	certain := *c
 	certain.RenewLease = func(ctx context.Context, a target.Address, l target.LeaseRenewal) (target.Report, error) {
 		acked := l.Acked
@@ -36,7 +36,9 @@
 			r.fleet.CarryOutRenewal(a.ID, target.LeaseRenewal{Token: l.Token, Acked: acked})
 			report.Ended = slices.DeleteFunc(report.Ended, func(e target.End) bool { return e.Number <= acked })
 		}
-		reported[a.ID] = report.Incarnation
+		if acked > 0 || l.Wait > 0 || l.Deadline > 0 { // else the engine may only look for a run
+			reported[a.ID] = report.Incarnation
+		}
 
 		return report, nil
 	}
