An end of a run that is not on record counts for its task

Callers could see a task run again that had ended done, and one run more than the attempts allow. A start without an answer is given up, and the next incarnation of the worker executes it. The planner has kept capacity for it there, so its end found a member, was acknowledged, and counted for no task. It now counts like the end of a run that has no member any more.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -390,6 +390,9 @@
 		case m != nil:
 			m.unit.job.begun = true // the answer to its start may be late or lost
 			e.handleEnd(m, end)
+			if m.unit.orphan { // its task may be waiting, or run under another number
+				e.handleLateEnd(w, end)
+			}
 		default:
 			e.handleLateEnd(w, end)
 		}
