A renewal of a lease waits for no other calls

An acknowledgement travels in a renewal that the worker answers at once, and such renewals waited for a slot for calls. 200 unanswered stops to another worker made the lease of a healthy one lapse after 8 s.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -145,7 +145,7 @@
 
 // sendRenewal sends a lease renewal and processes the outcome.
 func (e *Engine) sendRenewal(w *worker, to recipient, renewal target.LeaseRenewal) {
-	if renewal.Wait == 0 {
+	if renewal.Wait == 0 && renewal.Deadline == 0 { // a renewal of a lease must not wait
 		if !e.calls.acquire(e.ctx.Done()) {
 			return
 		}
