A clock of 0 in an answer is a clock

An incarnation that is less than a millisecond old answers with the clock 0, which counted as no clock: the planner didn't notice the restart and acknowledged ends of the earlier incarnation to it. TestAckAfterClockOfZero fails without this; found by random plays.

--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -329,10 +329,10 @@
 // readClock processes the clock value in the answer to an order. The answer does not tell which
 // incarnation gave it. A clock that is behind its estimate is that of a new incarnation: deadlines of the
 // previous one mean nothing to it, and its lease may be as long as a worker accepts.
-func (e *Engine) readClock(w *worker, clock int64, order sentOrder) {
+func (e *Engine) readClock(w *worker, clock int64, err error, order sentOrder) {
 	now := e.SinceBoot()
 	switch {
-	case clock <= 0 || w.Incarnation != order.incarnation || w.clockAt == 0: // no clock to compare with
+	case clock < 0 || (clock == 0 && err != nil) || w.Incarnation != order.incarnation || w.clockAt == 0: // no clock to compare with
 	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
 		w.clockRestarted, w.clockRestartedAt = true, now
 		w.voidDeadlines(now)
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -159,7 +159,7 @@
 	if m.phase != starting {
 		return
 	}
-	e.readClock(w, a.clock, a.order)
+	e.readClock(w, a.clock, a.err, a.order)
 	if err == nil {
 		u.job.begun = true
 		m.phase, m.answeredAt, m.began = running, e.SinceBoot(), e.SinceBoot()
--- a/internal/run/engine/stops.go
+++ b/internal/run/engine/stops.go
@@ -64,7 +64,7 @@
 	clock, err := e.Workers.Stop(ctx, to, order)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.readClock(m.worker, clock, sentOrder{at: sent, incarnation: incarnation})
+	e.readClock(m.worker, clock, err, sentOrder{at: sent, incarnation: incarnation})
 	switch {
 	case err == nil && m.worker.Incarnation != incarnation:
 		return true // the worker has restarted meanwhile; handleRestart has sent the stop again if needed
