Workers that may forget ends are kept out of use no longer than needed

Beside an unanswered acknowledgement, a worker that left the list for a moment without a restart stayed out of use for 12 s, a lasting task whose only worker had restarted waited for 15 s, and a gang was stopped because one question for the incarnation got no answer. The record of the acknowledgement names the incarnation that it was meant for; lasting tasks, which run again however they end, may start; the question is asked twice.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -39,6 +39,7 @@
 		ClaimedBy    string        // unit that capacity was freed for by eviction; empty for none
 		ColdFor      time.Duration // how much longer its runs are slow because it has just started
 		NoBestEffort bool          // accepts no best-effort tasks
+		OnlyLasting  bool          // accepts only long-running tasks
 		CPUDemand    float64       // CPU demand of its runs as a share of its CPU capacity; may exceed 1
 		SpareBelow   int           // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
@@ -54,12 +55,13 @@
 		Tasks        []int
 		Need         work.Shape
 		Gang         bool
-		SameRack     bool         // a gang must be on a single rack
-		Label        string       // label that a worker must have; empty for none
-		DataRack     string       // rack that holds the data; empty for none
-		DataRackOnly bool         // may run only on the rack that holds the data
-		MaxPerWorker int          // maximum number of the step's tasks per worker; 0 for no limit
-		BestEffort   bool         // best-effort: uses the CPU time that other tasks leave idle
+		SameRack     bool   // a gang must be on a single rack
+		Label        string // label that a worker must have; empty for none
+		DataRack     string // rack that holds the data; empty for none
+		DataRackOnly bool   // may run only on the rack that holds the data
+		MaxPerWorker int    // maximum number of the step's tasks per worker; 0 for no limit
+		BestEffort   bool   // best-effort: uses the CPU time that other tasks leave idle
+		LongRunning  bool
 		Placed       map[int]int  // number of the step's tasks that already hold capacity, by worker
 		Avoid        map[int]bool // workers to exclude, such as those on which the job has failed
 		Exclude      map[int]bool // workers to exclude even if the unit is overdue
@@ -437,7 +439,7 @@
 		return false
 	case w.delaysReservation(u, a.perWorker[i]):
 		return false
-	case w.Service != u.Service, u.BestEffort && w.NoBestEffort:
+	case w.Service != u.Service, u.BestEffort && w.NoBestEffort, w.OnlyLasting && !u.LongRunning:
 		return false
 	case u.Label != "" && !slices.Contains(w.Labels, u.Label):
 		return false
--- a/internal/run/engine/acks.go
+++ b/internal/run/engine/acks.go
@@ -15,6 +15,35 @@
 // ends that the planner has not read. Hence a renewal that acknowledges ends is answered at once, and is
 // sent only while it is certain which incarnation receives it.
 
+// confirmAttempts is how often a worker is asked for its incarnation before a start to it is given up.
+const confirmAttempts = 2
+
+// errRestarted means that a worker is not the incarnation that is known any more.
+var errRestarted = errors.New("worker has restarted")
+
+// lateAck is an acknowledgement without an answer.
+type lateAck struct {
+	incarnation int64         // for which it was meant
+	until       time.Duration // until then, it may still be executed
+	earlier     time.Duration // the same for acknowledgements that were meant for earlier incarnations
+}
+
+// mayForgetUntil returns until when an incarnation of a worker may forget ends that have not been read.
+func (e *Engine) mayForgetUntil(worker string, incarnation int64) time.Duration {
+	late := e.lateAcks[worker]
+	if late.incarnation == incarnation {
+		return late.earlier
+	}
+
+	return late.until
+}
+
+// mayForgetEnd reports whether a member's worker may forget the end of its run. Long-running tasks start
+// again however they end.
+func (e *Engine) mayForgetEnd(m *member) bool {
+	return e.SinceBoot() < m.worker.forgetsUntil && !m.unit.job.Steps[m.unit.step].LongRunning
+}
+
 // mayAck reports whether ends are to be acknowledged to the worker now. A start without an answer may have
 // been the first order to a new incarnation.
 func (w *worker) mayAck() bool {
@@ -50,9 +79,14 @@
 		return false
 	}
 	now := e.SinceBoot()
-	maps.DeleteFunc(e.lateAcks, func(_ string, until time.Duration) bool { return now > until })
-	w.ackBefore = e.lateAcks[w.ID]
-	e.lateAcks[w.ID] = now + e.Timing.LateOrderWindow
+	maps.DeleteFunc(e.lateAcks, func(_ string, a lateAck) bool { return now > a.until })
+	before := e.lateAcks[w.ID]
+	w.ackBefore = before
+	late := lateAck{incarnation: w.Incarnation, until: now + e.Timing.LateOrderWindow, earlier: before.earlier}
+	if before.incarnation != w.Incarnation {
+		late.earlier = before.until
+	}
+	e.lateAcks[w.ID] = late
 
 	return true
 }
@@ -61,7 +95,9 @@
 // until LateOrderWindow after it was sent.
 func (e *Engine) endAck(w *worker, to recipient, renewal target.LeaseRenewal, r target.Report, err error, sentBy time.Duration) {
 	if errors.Is(err, target.ErrUnknown) {
-		e.lateAcks[w.ID] = max(w.ackBefore, sentBy+e.Timing.LateOrderWindow)
+		late := e.lateAcks[w.ID]
+		late.until = max(w.ackBefore.until, sentBy+e.Timing.LateOrderWindow)
+		e.lateAcks[w.ID] = late
 	} else {
 		e.lateAcks[w.ID] = w.ackBefore
 	}
@@ -71,7 +107,7 @@
 		return
 	}
 	if w.Incarnation != to.incarnation || w.clockRestarted {
-		w.forgetsUntil = e.lateAcks[w.ID]
+		w.forgetsUntil = e.lateAcks[w.ID].until
 	}
 	e.Log.Warn().Str("event", "ack-uncertain").Str("worker", w.ID).Int64("to", to.incarnation).Int64("born", r.Incarnation).
 		Int64("number", renewal.Acked).Err(err).Msg("")
@@ -105,22 +141,32 @@
 // start is not known yet, could forget the end of the run.
 func (e *Engine) confirmIncarnation(to recipient) error {
 	e.mu.Lock()
-	until := e.lateAcks[to.ID]
+	until := e.lateAcks[to.ID].until
 	e.mu.Unlock()
 	if e.SinceBoot() >= until {
 		return nil
 	}
+	var err error
+	for range confirmAttempts {
+		if err = e.askIncarnation(to); err == nil || errors.Is(err, target.ErrFenced) || errors.Is(err, errRestarted) {
+			break
+		}
+	}
+	if err == nil || errors.Is(err, target.ErrFenced) {
+		return err
+	}
+
+	return errors.Wrap(target.ErrRefused, err.Error())
+}
+
+// askIncarnation returns an error unless the worker answers in the incarnation that is known.
+func (e *Engine) askIncarnation(to recipient) error {
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
 	defer cancel()
 	r, err := e.Workers.RenewLease(ctx, to.Address, target.LeaseRenewal{Token: e.Lease.Token})
-	switch {
-	case errors.Is(err, target.ErrFenced):
-		return err
-	case err != nil:
-		return errors.Wrap(target.ErrRefused, err.Error())
-	case r.Incarnation != 0 && r.Incarnation != to.incarnation:
-		return errors.Wrap(target.ErrRefused, "worker has restarted")
+	if err == nil && r.Incarnation != 0 && r.Incarnation != to.incarnation {
+		return errRestarted
 	}
 
-	return nil
+	return err
 }
--- a/internal/run/engine/engine.go
+++ b/internal/run/engine/engine.go
@@ -141,7 +141,7 @@
 		unreadableJobs    map[string]bool              // jobs with an open record that cannot be read
 		held              map[string]bool              // jobs on hold: their open or progress record cannot be read
 		unansweredStarts  map[string][]unansweredStart // starts that may still be executed, by worker
-		lateAcks          map[string]time.Duration     // until when an unanswered acknowledgement may still be executed, by worker
+		lateAcks          map[string]lateAck           // the newest unanswered acknowledgement, by worker
 		runTimes          map[string]*runTime          // measured run times, by queue
 		meanWorks         map[string]*meanWork         // mean work of a job, by queue
 		shortages         map[string]*shortage         // state of the services that are or were short of capacity, by service
@@ -243,7 +243,7 @@
 	e := &Engine{
 		Config: c, jobs: map[string]*job{}, keptBy: map[string]int{}, workers: map[string]*worker{}, units: map[string]*unit{},
 		claims: map[string]claim{}, queues: map[string]*knownQueue{}, earlyCancels: map[string]earlyCancel{}, unmatchedProgress: map[string][]byte{}, unmatchedCrashes: map[string][]byte{}, unreadableJobs: map[string]bool{}, held: map[string]bool{},
-		unansweredStarts: map[string][]unansweredStart{}, lateAcks: map[string]time.Duration{}, runTimes: map[string]*runTime{}, meanWorks: map[string]*meanWork{}, shortages: map[string]*shortage{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
+		unansweredStarts: map[string][]unansweredStart{}, lateAcks: map[string]lateAck{}, runTimes: map[string]*runTime{}, meanWorks: map[string]*meanWork{}, shortages: map[string]*shortage{}, adviceByStep: map[string]*advice{}, waves: map[int]*wave{}, inheritedOrders: map[int][]string{}, inheritedStale: map[string]time.Duration{}, silent: map[string]bool{}, admitted: map[string]bool{},
 		passRequested: make(chan struct{}, 1), starts: startQueue{maxInFlight: c.MaxCalls}, calls: make(semaphore, c.MaxCalls),
 	}
 	e.writer.init(e)
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -64,14 +64,14 @@
 	return placement.Worker{
 		Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free,
 		Schedulable: w.schedulable(now),
-		Penalty:     w.failures.Penalty(now), Slowdown: w.slowdown(now), ColdFor: w.coldFor(now), NoBestEffort: now < w.noBestEffortUntil, CPUDemand: w.cpuDemand(),
+		Penalty:     w.failures.Penalty(now), Slowdown: w.slowdown(now), ColdFor: w.coldFor(now), NoBestEffort: now < w.noBestEffortUntil, OnlyLasting: now < w.forgetsUntil, CPUDemand: w.cpuDemand(),
 	}
 }
 
 // schedulable reports whether the worker may receive runs now.
 func (w *worker) schedulable(now time.Duration) bool {
 	known := w.listed && w.reported && w.Host != ""
-	healthy := w.silentSince == 0 && now >= w.refusingUntil && now >= w.stalledUntil && now >= w.forgetsUntil
+	healthy := w.silentSince == 0 && now >= w.refusingUntil && now >= w.stalledUntil
 
 	return known && healthy && !w.Draining && !w.cordoned && !w.evacuated
 }
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -171,7 +171,7 @@
 	return placement.Unit{
 		Name: unitName(j, occur, step, 0), Service: q.Service, Tasks: tasks, Need: demand(st), Gang: st.Gang, SameRack: st.SameRack && st.Gang,
 		Label: st.Label, DataRack: st.Rack, DataRackOnly: st.Rack != "", MaxPerWorker: st.MaxPerWorker, Priority: q.Priority, SpeedWeight: speedWeight(q.Priority),
-		BestEffort: st.BestEffort, Length: e.expectedRunTime(j, step),
+		BestEffort: st.BestEffort, LongRunning: st.LongRunning, Length: e.expectedRunTime(j, step),
 	}
 }
 
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -336,7 +336,7 @@
 	case clock < w.estimateClock(order.at)-clockMargin.Milliseconds(): // also if it is above the newest one: that may be old
 		w.clockRestarted, w.clockRestartedAt = true, now
 		w.voidDeadlines(now)
-		w.forgetsUntil = e.lateAcks[w.ID]
+		w.forgetsUntil = e.lateAcks[w.ID].until
 		w.setClock(clock, now)
 		w.deadline = 0
 		w.noteClock(clock, order.at)
@@ -353,7 +353,7 @@
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", w.Incarnation).Int("runs", len(w.runs)).Msg("")
 	e.handleLoss(w, e.restartCause(w, draining), incarnation)
 	w.resetIncarnation(incarnation, e.SinceBoot())
-	w.forgetsUntil = e.lateAcks[w.ID]
+	w.forgetsUntil = e.mayForgetUntil(w.ID, incarnation)
 	for _, m := range w.members() {
 		// An unanswered start may still reach the new incarnation. Only a stop that this
 		// incarnation answers rules that out. For all other runs, its report shows whether
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -46,7 +46,7 @@
 		case m.phase != planned:
 		case m.unit.aborted:
 			e.release(m)
-		case !m.worker.reported || e.SinceBoot() < m.worker.forgetsUntil: // without this member, the rest of a gang would wait in vain
+		case !m.worker.reported || e.mayForgetEnd(m): // without this member, the rest of a gang would wait in vain
 			e.abort(m.unit, "worker restarted")
 			e.release(m)
 		case e.isEvacuated(m.worker):
--- a/internal/run/engine/worker.go
+++ b/internal/run/engine/worker.go
@@ -48,7 +48,7 @@
 	heldEnd           int64                   // lowest number of an end that is not acknowledged because its job is on hold; 0 if there is none
 	reportDue         bool                    // a report is requested even without runs
 	ackedEnd          int64                   // all run ends up to this number have been acknowledged to the worker
-	ackBefore         time.Duration           // until when an acknowledgement before the one in flight may be executed
+	ackBefore         lateAck                 // the unanswered acknowledgement before the one in flight
 	forgetsUntil      time.Duration           // until then, its incarnation may execute an acknowledgement for an earlier one
 	silentSince       time.Duration           // since when reports are missing; 0 while the worker reports
 	lostAt            time.Duration           // when it broke its connection, else when it last answered before it was silent
@@ -73,7 +73,7 @@
 
 // newWorker returns a worker that has not reported yet.
 func (e *Engine) newWorker(w target.Worker) *worker {
-	return &worker{Worker: w, coldUntil: e.SinceBoot() + w.ColdFor, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), forgetsUntil: e.lateAcks[w.ID], free: w.Capacity, baseSlowdown: 1, speed: e.inheritedSpeed(w.ID), cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
+	return &worker{Worker: w, coldUntil: e.SinceBoot() + w.ColdFor, maxLease: e.maxLease(), lateOrderWindow: e.Timing.LateOrderWindow, notExpiredBefore: e.inheritedStaleUntil(w.ID), forgetsUntil: e.mayForgetUntil(w.ID, w.Incarnation), free: w.Capacity, baseSlowdown: 1, speed: e.inheritedSpeed(w.ID), cpuShare: cpushare.Limit{Percent: cpushare.Initial}, runs: map[work.Task][]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // overcommitted reports whether more is reserved on the worker than it has of a resource that a
