--- a/internal/run/engine/acksafety_test.go
+++ b/internal/run/engine/acksafety_test.go
@@ -389,7 +389,7 @@
 		time.Sleep(5 * time.Second)
 		refused := make(chan struct{})
 		var late target.Start
-		h.setStart(func(ctx context.Context, _ *target.Client, a target.Address, s target.Start) (int64, error) {
+		h.setStart(func(ctx context.Context, _ *target.Client, _ target.Address, s target.Start) (int64, error) {
 			if s.Run == 1 {
 				late = s
 
