--- a/cmd/soak/client.go
+++ b/cmd/soak/client.go
@@ -92,21 +92,15 @@
 	if err := req.Write(&out); err != nil {
 		return 0, nil, err
 	}
+	_ = c.conn.SetDeadline(time.Now().Add(callTimeout)) // fails only on a closed connection
+	_, err = c.conn.Write(out.Bytes())
 	sent := time.Now()
-	_ = c.conn.SetDeadline(sent.Add(callTimeout)) // fails only on a closed connection
-	if _, err = c.conn.Write(out.Bytes()); err == nil {
-		sent = time.Now()
-		var resp *http.Response
-		if resp, err = http.ReadResponse(c.in, req); err == nil {
-			body, err = io.ReadAll(resp.Body)
-			if err == nil {
-				c.s.count(resp.StatusCode)
-				if resp.Close {
-					c.close()
-				}
-
-				return resp.StatusCode, body, nil
-			}
+	if err == nil {
+		var status int
+		if status, body, err = c.readAnswer(req); err == nil {
+			c.s.count(status)
+
+			return status, body, nil
 		}
 	}
 	c.s.recordNoAnswer(c.vm, method+" "+id, sent, err)
@@ -115,6 +109,21 @@
 	return 0, nil, err
 }
 
+// readAnswer reads an answer, and closes the connection if the VM asks for that.
+func (c *client) readAnswer(req *http.Request) (int, []byte, error) {
+	resp, err := http.ReadResponse(c.in, req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.Close {
+		c.close()
+	}
+
+	return resp.StatusCode, body, err
+}
+
 func (c *client) connect(ctx context.Context) error {
 	if c.conn != nil {
 		return nil
--- a/cmd/soak/planned.go
+++ b/cmd/soak/planned.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -224,11 +226,7 @@
 func (s *soak) observeIdle(ctx context.Context) []*fleet.IdleWait {
 	check := fleet.IdleCheck{Fleet: s.platform.Fleet, Service: "s"}
 	for ctx.Err() == nil {
-		var ids []string
-		for id := range s.unfinished() {
-			ids = append(ids, id)
-		}
-		check.Observe(ids)
+		check.Observe(slices.Collect(maps.Keys(s.unfinished())))
 		time.Sleep(observeInterval)
 	}
 
@@ -238,10 +236,7 @@
 // queryAtEnd asks for all accepted jobs. Each must be known, and answered in time.
 func (s *soak) queryAtEnd() {
 	s.mu.Lock()
-	var ids []string
-	for id := range s.accepted {
-		ids = append(ids, id)
-	}
+	ids := slices.Collect(maps.Keys(s.accepted))
 	s.mu.Unlock()
 	for i, id := range ids {
 		p := s.vms[i%len(s.vms)]
--- a/cmd/soak/shutdown_test.go
+++ b/cmd/soak/shutdown_test.go
@@ -95,8 +95,8 @@
 		resumed     = 2800 * time.Millisecond // after SIGTERM, when the listeners should have closed
 	)
 	s := startVMs(t, 8, nil)
-	var clients []*client
 	stopped := s.vms[1:]
+	clients := make([]*client, 0, connections*len(stopped))
 	for i, p := range stopped {
 		for range connections {
 			c := &client{s: s, rand: rand.New(rand.NewPCG(1, uint64(i))), vm: p}
