--- a/cmd/soak/planned.go
+++ b/cmd/soak/planned.go
@@ -25,8 +25,9 @@
 	probeInterval   = time.Second // of the load balancer
 	probeMisses     = 2           // after which a VM gets no new connections
 	observeInterval = 200 * time.Millisecond
-	maxPlannedPause = 4 * time.Second // between the beginnings of two series
-	maxRestartGap   = 2 * time.Second // between two graceful restarts of a series
+	maxLateness     = 300 * time.Millisecond // of the soak, beyond which the emulated platform is too slow for its checks
+	maxPlannedPause = 4 * time.Second        // between the beginnings of two series
+	maxRestartGap   = 2 * time.Second        // between two graceful restarts of a series
 	maxSignalGap    = 500 * time.Millisecond
 	maxSignals      = 4 // SIGHUPs or configurations of a series
 	maxDowntime     = time.Second
@@ -225,7 +226,12 @@
 // observeIdle returns the waits of jobs that have no run although there is room, until the context ends.
 func (s *soak) observeIdle(ctx context.Context) []*fleet.IdleWait {
 	check := fleet.IdleCheck{Fleet: s.platform.Fleet, Service: "s"}
+	due := time.Now()
 	for ctx.Err() == nil {
+		if late := time.Since(due); late > maxLateness {
+			s.failf("inconclusive: the soak itself was held up for %dms at %s", late.Milliseconds(), due.UTC().Format("15:04:05.000"))
+		}
+		due = time.Now().Add(observeInterval)
 		check.Observe(slices.Collect(maps.Keys(s.unfinished())))
 		time.Sleep(observeInterval)
 	}
