--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -138,6 +138,9 @@
 
 // stopGracefully requests a graceful shutdown and waits for its end.
 func (p *process) stopGracefully() {
+	if p.cmd == nil {
+		return // it has not been added
+	}
 	if p.paused.Load() {
 		p.resume()
 	}
