--- a/cmd/soak/shutdown_test.go
+++ b/cmd/soak/shutdown_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -16,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sesameyoke/internal/peer/store"
 )
 
 const (
@@ -24,12 +24,12 @@
 )
 
 // startVMs starts a platform with n VMs that run the present code.
-func startVMs(t *testing.T, n int, wrap func(http.Handler) http.Handler) *soak {
+func startVMs(t *testing.T, n int, appended func(topic string, records []store.Record)) *soak {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "sesameyoke")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../sesameyoke").CombinedOutput()
 	require.NoError(t, err, string(out))
-	s, err := newSoak(t.Context(), soakConfig{Seed: 1, VMs: n, Workers: 1, Binary: binary, Work: randomFaults, Wrap: wrap})
+	s, err := newSoak(t.Context(), soakConfig{Seed: 1, VMs: n, Workers: 1, Binary: binary, Work: randomFaults, Appended: appended})
 	require.NoError(t, err)
 	s.Work = plannedWork // all VMs have been started
 	t.Cleanup(func() { s.close(false) })
@@ -135,23 +135,11 @@
 func TestLeaveWhileAcquiring(t *testing.T) {
 	var armed atomic.Bool
 	acquired := make(chan []byte, 1)
-	s := startVMs(t, 3, func(next http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			body, err := io.ReadAll(r.Body)
-			if err != nil {
-				panic(http.ErrAbortHandler)
-			}
-			r.Body = io.NopCloser(bytes.NewReader(body))
-			answer := httptest.NewRecorder()
-			next.ServeHTTP(answer, r)
-			lease := r.URL.Path == "/log-append" && r.URL.Query().Get("topic") == leaseTopic
-			if lease && answer.Code == http.StatusOK && armed.CompareAndSwap(true, false) {
-				acquired <- body
-				time.Sleep(answerDelay)
-			}
-			w.WriteHeader(answer.Code)
-			_, _ = w.Write(answer.Body.Bytes()) // the VM may have given up
-		})
+	s := startVMs(t, 3, func(topic string, records []store.Record) {
+		if topic == leaseTopic && armed.CompareAndSwap(true, false) {
+			acquired <- records[0].Value
+			time.Sleep(answerDelay)
+		}
 	})
 	holder := func(record []byte) *process {
 		for _, p := range s.vms {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sesameyoke/internal/core/work"
+	"sesameyoke/internal/peer/store"
 	"sesameyoke/internal/peer/target"
 	"sesameyoke/internal/standin/fleet"
 	"sesameyoke/internal/standin/proxy"
@@ -40,7 +41,8 @@
 		CPUs    int     // number of processors that all VMs share; 0 for all
 		Quota   bool    // limit the processor time of each VM
 		Calm    time.Duration
-		Wrap    func(http.Handler) http.Handler // wraps the handler of the platform; nil for none
+		// Appended is called after each append to the store, before the VM gets its answer; nil for no calls.
+		Appended func(topic string, records []store.Record)
 	}
 
 	// soak is the run of one seed.
@@ -79,7 +81,7 @@
 
 		return rng.Float64()
 	}
-	s.platform = standin.Platform{Store: fleet.NewStore(random), Fleet: fleet.NewFleet(random)}
+	s.platform = standin.Platform{Store: fleet.NewStore(random), Fleet: fleet.NewFleet(random), Appended: c.Appended}
 	s.platform.Fleet.Outcome = func(t work.Task, run int64, _ string) (time.Duration, target.How) {
 		x := rand.New(rand.NewPCG(c.Seed+uint64(run), uint64(t.Index))).Float64()
 		if x < 0.08 {
@@ -108,11 +110,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	handler := s.platform.Handler()
-	if s.Wrap != nil {
-		handler = s.Wrap(handler)
-	}
-	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
+	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: readyTimeout}
 	go func() {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			s.failf("emulated platform stopped: %v", err)
