--- a/cmd/soak/client.go
+++ b/cmd/soak/client.go
@@ -198,7 +198,11 @@
 		read = true
 	}
 	s.mu.Unlock()
-	if read && after > lossSlack && s.Work == plannedWork {
+	if !read || after <= lossSlack || s.Work != plannedWork {
+		return
+	}
+	time.Sleep(2 * observeInterval) // until it is known whether the soak was held up
+	if s.heldUp.Load() < sent.UnixMilli() {
 		s.failf("%s to %s: connection ended without an answer %dms after the request: %v; %s", request, p.name, after.Milliseconds(), err, p.history())
 	}
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -56,8 +56,8 @@
 		}
 		failures := s.run(c.Duration("trouble"))
 		s.close(len(failures) > 0)
-		fmt.Printf("seed=%d jobs=%d accepted=%d refused=%d steps=%d %vtook=%v faults=%d\n", seed, s.submitted, len(s.accepted), s.refused,
-			s.steps, s.counts, time.Since(started).Round(time.Second), len(failures))
+		fmt.Printf("seed=%d jobs=%d accepted=%d refused=%d steps=%d %vheld_up=%d took=%v faults=%d\n", seed, s.submitted, len(s.accepted), s.refused,
+			s.steps, s.counts, s.heldUps.Load(), time.Since(started).Round(time.Second), len(failures))
 		for _, f := range failures {
 			fmt.Println("  " + f)
 		}
--- a/cmd/soak/planned.go
+++ b/cmd/soak/planned.go
@@ -25,7 +25,7 @@
 	probeInterval   = time.Second // of the load balancer
 	probeMisses     = 2           // after which a VM gets no new connections
 	observeInterval = 200 * time.Millisecond
-	maxLateness     = 300 * time.Millisecond // of the soak, beyond which the emulated platform is too slow for its checks
+	maxLateness     = 200 * time.Millisecond // of the soak, beyond which the emulated platform is too slow for its checks
 	maxPlannedPause = 4 * time.Second        // between the beginnings of two series
 	maxRestartGap   = 2 * time.Second        // between two graceful restarts of a series
 	maxSignalGap    = 500 * time.Millisecond
@@ -228,8 +228,10 @@
 	check := fleet.IdleCheck{Fleet: s.platform.Fleet, Service: "s"}
 	due := time.Now()
 	for ctx.Err() == nil {
-		if late := time.Since(due); late > maxLateness {
-			s.failf("inconclusive: the soak itself was held up for %dms at %s", late.Milliseconds(), due.UTC().Format("15:04:05.000"))
+		if time.Since(due) > maxLateness { // the waits so far may be due to the emulated platform
+			s.heldUp.Store(time.Now().UnixMilli())
+			s.heldUps.Add(1)
+			check = fleet.IdleCheck{Fleet: check.Fleet, Service: check.Service, Found: check.Found}
 		}
 		due = time.Now().Add(observeInterval)
 		check.Observe(slices.Collect(maps.Keys(s.unfinished())))
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,6 +66,8 @@
 		accepted  map[string]string // newest known state by job ID
 		failures  []string
 		counts    counts
+		heldUp    atomic.Int64 // Unix milliseconds of the newest time at which the soak was held up
+		heldUps   atomic.Int64
 		rotation  []*process // VMs that the load balancer uses
 		published time.Time  // of the newest configuration
 	}
