Failing test: jobs that are accepted while nobody plans

TestHostileKept lets 256 clients submit 16 jobs of 60 KB each right after the start, 64 MB and 1,200 descriptors. A VM of entry accepts jobs without the planner: it appends them to the store. Nothing bounds them, and the planner that starts reads and keeps all: the bound on kept jobs applies to those that callers hand to a planner. A process that ends by this ends again after its restart, as does each other VM that becomes the planner.

--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -22,6 +22,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sesameyoke/internal/core/code"
+	"sesameyoke/internal/core/config"
+	"sesameyoke/internal/core/contract"
+	"sesameyoke/internal/peer/operator"
 	"sesameyoke/internal/standin/fleet"
 	standinlog "sesameyoke/internal/standin/log"
 	"sesameyoke/internal/standin/vms"
@@ -40,7 +44,10 @@
 	hostileSample    = 20 * time.Millisecond
 	hostileFirstPort = 32100           // above the ports of soaks and below those of outgoing connections
 	hostileJobHold   = 3 * time.Second // for which the store answers no appends in TestHostileJobs
-	hostileJobBytes  = 250_000         // about the size of the jobs in TestHostileJobs
+	hostileToken     = "token-of-test"
+	hostileKeptJobs  = 16      // of each client in TestHostileKept
+	hostileKeptBytes = 60_000  // about the size of these jobs
+	hostileJobBytes  = 250_000 // about the size of the jobs in TestHostileJobs
 )
 
 type (
@@ -152,6 +159,50 @@
 	}
 }
 
+// TestHostileKept submits many jobs of legal size that no worker can run. It guards against a process that
+// ends because nothing bounds the jobs that it has accepted.
+func TestHostileKept(t *testing.T) {
+	binary := buildBinary(t)
+	submissions := func(path, headers, body string) attack {
+		body = strings.ReplaceAll(body, "$TEXT", strings.Repeat("a", hostileKeptBytes))
+		length := len(strings.ReplaceAll(body, "$ID", strings.Repeat("0", 16)))
+		piece := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, length, body)
+
+		return attack{name: "jobs", piece: piece, pieces: hostileKeptJobs, clients: hostileClients}
+	}
+	t.Run("entry", func(t *testing.T) {
+		to := startEntry(t, binary, hostileManyFDs, answerAtOnce)
+		a := submissions(standin.QueuePrefix+"$ID", to.headers, `{"steps":[{"count":1,"gpu":1,"image":"$TEXT"}]}`)
+		to.await(t, "before the attack", "") // the VM does not plan yet
+		a.runToFill(t, to, standin.QueuePrefix)
+	})
+	t.Run("serve", func(t *testing.T) {
+		to := startServe(t, binary, hostileManyFDs)
+		publishContract(t, to.address)
+		a := submissions("/v1/jobs", to.headers, `{"workspace":"w","id":"$ID","payload":"$TEXT","run":"1s","idempotent":true}`)
+		a.runToFill(t, to, "/v1/jobs/w/unknown")
+	})
+}
+
+// runToFill is run with an ordinary call that is no submission, because the crowd may fill the process.
+func (a attack) runToFill(t *testing.T, to *target, path string) {
+	call := func() string { return to.send("GET", path, "") }
+	most := to.attackDuring(t, a.crowd(to), func() { to.awaitStatus(t, "during the attack", call) })
+	to.awaitStatus(t, "after the attack", call)
+	most.check(t, to.fds)
+}
+
+// publishContract puts a contract for workspace w in force.
+func publishContract(t *testing.T, address string) {
+	c := operator.Client{Base: "http://" + address, Token: hostileToken, HTTP: http.DefaultClient}
+	publish := func() bool {
+		e, err := c.Publish(t.Context(), config.Change{Kind: config.KindContract, Author: "op", Contract: &contract.Contract{Workspace: "w", Quota: 1}})
+
+		return err == nil && e.Code == code.Accepted
+	}
+	require.Eventually(t, publish, awaitLimit, awaitInterval)
+}
+
 // runWithoutStore is run with a store that answers no appends until the crowd has sent its requests and
 // hostileJobHold has passed. What the crowd submits may fill the planner, so that the ordinary call
 // afterwards is not a submission.
@@ -307,11 +358,11 @@
 	job := fmt.Sprintf("POST %s HTTP/1.1\r\n%s", to.path(1000+i), to.headers)
 	w := bufio.NewWriterSize(conn, 16<<10)
 	_, err = w.WriteString(strings.NewReplacer("$JOB", job, "$CALL", to.call).Replace(a.head))
-	for range a.pieces {
+	for n := range a.pieces {
 		if err != nil {
 			break
 		}
-		_, err = w.WriteString(a.piece)
+		_, err = w.WriteString(strings.ReplaceAll(a.piece, "$ID", fmt.Sprintf("%016x", (i+1)<<20+n)))
 	}
 	_ = w.Flush()
 	sent()
@@ -480,8 +531,8 @@
 	log, list := serveStandin(t, standinlog.New().Handler()), serveStandin(t, vms.New(0).Handler())
 	port := freePorts(t, 1)
 	address := fmt.Sprintf("127.0.0.1:%d", port)
-	settings := writeSettings(t, fmt.Sprintf("name: a\nregion: x\ndomain: d\nlisten: %s\nlog: http://%s\nvms: http://%s\ntoken: token-of-test\nloglevel: error\n"+
-		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileMemoryMB, fds))
+	settings := writeSettings(t, fmt.Sprintf("name: a\nregion: x\ndomain: d\nlisten: %s\nlog: http://%s\nvms: http://%s\ntoken: %s\nloglevel: error\n"+
+		"limits: {memory: %d, fds: %d}\n", address, log, list, hostileToken, hostileMemoryMB, fds))
 
 	return startProcess(t, &target{
 		fds:     fds,
