A VM bounds the jobs that it accepts without the planner

Callers ended the planner's process with jobs of legal size while nobody planned, for instance in the first 15 s after a start: each VM appended them to the store, and the planner that started read and kept them all. The bound on kept jobs holds only for those that a planner accepts.

A VM now appends at most a quarter of that size at once, and the same again within 2 min; beyond it, it refuses with 429. A job counts once, however often it is appended, and not at all if each append was refused. At 144 MB that is 5.4 MB, about 1,000 jobs of 20 tasks.

Open: the sum over many VMs still exceeds what one planner keeps.

--- a/cmd/sesameyoke/entry.go
+++ b/cmd/sesameyoke/entry.go
@@ -153,7 +153,7 @@
 	v.entry = entry.New(entry.Config{
 		Name: name, Address: address, Cores: settings.Cores, StartTime: startTime.UnixMilli(),
 		Store: st, Direct: direct, Watcher: watcher, Elector: v.elector, PeerClient: peers, RevocationBound: settings.KeyRevocation, RecordBytes: settings.RecordBytes,
-		SinceBoot: sinceBoot, Log: l, Observe: v.metrics.Time,
+		HandinBytes: v.keptBytes() / handinShare, SinceBoot: sinceBoot, Log: l, Observe: v.metrics.Time,
 	})
 	watcher.AskPeer = v.entry.FetchPolicy
 
--- a/cmd/sesameyoke/planner.go
+++ b/cmd/sesameyoke/planner.go
@@ -27,6 +27,7 @@
 	callsPerCore        = 160                     // limit of concurrent calls to workers per core of this VM
 	maxKept             = 32 << 20                // size of all jobs, in bytes, from which no further ones are accepted
 	keptShare           = 0.15                    // share of this VM's memory that they may take at most
+	handinShare         = 4                       // a VM may append this part of that size to the store at once without the planner
 	minCalls            = 24                      // lower limit of the concurrent calls, for VMs with few cores
 )
 
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -47,6 +47,7 @@
 		Elector         *lead.Elector
 		PeerClient      *planner.Client
 		RecordBytes     int                  // size of the largest record that the store accepts; 0 for work.DefaultRecordBytes
+		HandinBytes     int                  // size of the jobs, by work.Job.KeptBytes, that may be appended to the store at once without the planner; 0 for no limit
 		RevocationBound time.Duration        // a withdrawn key must be refused within this time
 		SinceBoot       func() time.Duration // current boot time: time since boot, including time suspended
 		Log             *log.Logger
@@ -60,6 +61,7 @@
 		engine         atomic.Pointer[engine.Engine]
 		pending        atomic.Pointer[pendingCount]
 		leaving        atomic.Bool
+		handins        handinBudget
 		successorCores atomic.Uint64 // cores of the planner's preferred successor, as float bits; 0 if unknown
 
 		mu    sync.Mutex
@@ -86,7 +88,7 @@
 		c.RecordBytes = work.DefaultRecordBytes
 	}
 
-	return &Entry{Config: c, peers: map[string]peer{}}
+	return &Entry{Config: c, peers: map[string]peer{}, handins: handinBudget{bytes: c.HandinBytes}}
 }
 
 // SetEngine sets the engine that runs while this VM is the planner, or nil when it no
@@ -144,9 +146,10 @@
 	} else { // the planner that reads the job has to know the queue
 		e.Log.Error().Str("event", "record-not-encoded").Str("id", j.ID).Str("queue", g.Queue.Name).Err(err).Msg("")
 	}
+	claim := &handinClaim{budget: &e.handins, size: j.KeptBytes()}
 	start, uncertain := e.SinceBoot(), false // uncertain: an attempt may have reached the store
 	for ctx.Err() == nil {
-		c, retryAfter := e.submitOnce(ctx, record, handin)
+		c, retryAfter := e.submitOnce(ctx, record, handin, claim)
 		if isFinal(c, uncertain) {
 			return c, retryAfter
 		}
@@ -159,6 +162,7 @@
 	if uncertain {
 		return code.Unknown, 0
 	}
+	claim.release()
 
 	return code.LogDown, 0
 }
@@ -171,12 +175,19 @@
 
 // submitOnce makes one attempt by way of the planner, then by an append to the store, and
 // if the store refuses, through another VM.
-func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record) (code.Code, time.Duration) {
+func (e *Entry) submitOnce(ctx context.Context, record []byte, handin []store.Record, claim *handinClaim) (code.Code, time.Duration) {
 	c, retryAfter := e.plannerSubmit(ctx, record, false)
 	if isFinal(c, false) {
 		return c, retryAfter
 	}
 	uncertain := c == code.Unknown
+	if !claim.take(e.SinceBoot()) {
+		if uncertain {
+			return code.Unknown, 0
+		}
+
+		return code.Overloaded, 0
+	}
 	switch c = e.appendHandin(ctx, handin...); {
 	case c == code.OK, c == code.TooLarge && !uncertain:
 		return c, 0
