--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -159,29 +159,31 @@
 	}
 }
 
-// TestHostileKept submits many jobs of legal size that no worker can run. It guards against a process that
-// ends because nothing bounds the jobs that it has accepted.
+// TestHostileKept submits many jobs of legal size to entry while nobody plans. It guards against a process
+// that ends because nothing bounds the jobs that it has accepted.
 func TestHostileKept(t *testing.T) {
-	binary := buildBinary(t)
-	submissions := func(path, headers, body string) attack {
-		body = strings.ReplaceAll(body, "$TEXT", strings.Repeat("a", hostileKeptBytes))
-		length := len(strings.ReplaceAll(body, "$ID", strings.Repeat("0", 16)))
-		piece := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, length, body)
+	to := startEntry(t, buildBinary(t), hostileManyFDs, answerAtOnce)
+	to.await(t, "before the attack", "") // the VM does not plan yet
+	a := submissions(standin.QueuePrefix+"$ID", to.headers, `{"steps":[{"count":1,"gpu":1,"image":"$TEXT"}]}`)
+	a.runToFill(t, to, standin.QueuePrefix)
+}
 
-		return attack{name: "jobs", piece: piece, pieces: hostileKeptJobs, clients: hostileClients}
-	}
-	t.Run("entry", func(t *testing.T) {
-		to := startEntry(t, binary, hostileManyFDs, answerAtOnce)
-		a := submissions(standin.QueuePrefix+"$ID", to.headers, `{"steps":[{"count":1,"gpu":1,"image":"$TEXT"}]}`)
-		to.await(t, "before the attack", "") // the VM does not plan yet
-		a.runToFill(t, to, standin.QueuePrefix)
-	})
-	t.Run("serve", func(t *testing.T) {
-		to := startServe(t, binary, hostileManyFDs)
-		publishContract(t, to.address)
-		a := submissions("/v1/jobs", to.headers, `{"workspace":"w","id":"$ID","payload":"$TEXT","run":"1s","idempotent":true}`)
-		a.runToFill(t, to, "/v1/jobs/w/unknown")
-	})
+// TestHostileKeptServe is TestHostileKept for serve.
+func TestHostileKeptServe(t *testing.T) {
+	to := startServe(t, buildBinary(t), hostileManyFDs)
+	publishContract(t, to.address)
+	a := submissions("/v1/jobs", to.headers, `{"workspace":"w","id":"$ID","payload":"$TEXT","run":"1s","idempotent":true}`)
+	a.runToFill(t, to, "/v1/jobs/w/unknown")
+}
+
+// submissions is an attack with many jobs on each connection. $ID stands for an ID of each job, and $TEXT
+// for what makes it large.
+func submissions(path, headers, body string) attack {
+	body = strings.ReplaceAll(body, "$TEXT", strings.Repeat("a", hostileKeptBytes))
+	length := len(strings.ReplaceAll(body, "$ID", strings.Repeat("0", 16)))
+	piece := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, headers, length, body)
+
+	return attack{name: "jobs", piece: piece, pieces: hostileKeptJobs, clients: hostileClients}
 }
 
 // runToFill is run with an ordinary call that is no submission, because the crowd may fill the process.
--- a/internal/peer/limit/limit_test.go
+++ b/internal/peer/limit/limit_test.go
@@ -227,7 +227,9 @@
 // that take memory without a share while their handlers wait, and against a share that exceeds the body.
 func TestShareOfWaitingHandler(t *testing.T) {
 	read, leave := make(chan bool), make(chan bool)
-	change := func(c *Config) { c.BodyTimeout, c.BodyWait, c.BodyBudget = time.Hour, 300*time.Millisecond, 2*c.BodyBytes }
+	change := func(c *Config) {
+		c.BodyTimeout, c.BodyWait, c.BodyBudget = time.Hour, 300*time.Millisecond, 2*c.BodyBytes
+	}
 	address := start(t, change, func(w http.ResponseWriter, r *http.Request) {
 		readAll(w, r)
 		if r.Header.Get("Wait") != "" {
