serve bounds the size of the records that it keeps for other VMs

Each VM kept the last 4,096 records of a stream whatever their size: with jobs of the largest payload about 300 MB. TestRecentBytes guards it.

--- a/internal/peer/log/tail.go
+++ b/internal/peer/log/tail.go
@@ -22,6 +22,7 @@
 
 	maxReadRecords = 2000      // largest number of records of one read
 	ringSize       = 4096      // number of records kept in memory
+	maxRingBytes   = 4 << 20   // of these records; the newest one is kept in any case
 	snapshotChunk  = 256 << 10 // bytes of state in one snapshot record
 )
 
@@ -41,7 +42,9 @@
 		highestSeen    atomic.Int64     // highest offset known to exist, from the log or a peer
 		alive          atomic.Bool      // the last read was answered
 		mu             sync.Mutex       // held while applying
-		ring           map[int64][]byte // the last ringSize applied records by offset
+		ring           map[int64][]byte // the last applied records by offset, at most ringSize and maxRingBytes
+		ringFirst      int64            // offset of the oldest one
+		ringBytes      int              // size of all
 		snapshotOffset atomic.Int64     // last offset covered by the newest snapshot in the log
 		gap            *gap             // nil if no records are missing
 	}
@@ -74,7 +77,7 @@
 	t.applied.Store(-1)
 	t.highestSeen.Store(-1)
 	t.snapshotOffset.Store(-1)
-	t.ring = make(map[int64][]byte, ringSize)
+	t.clearRing()
 }
 
 // Applied returns the last applied offset, or -1 if there is none.
@@ -190,12 +193,28 @@
 	} else {
 		t.Apply(offset, raw)
 	}
-	t.ring[offset] = raw
-	delete(t.ring, offset-ringSize)
+	t.remember(offset, raw)
 	t.applied.Store(offset)
 	t.Observe(offset)
 }
 
+// remember keeps an applied record in memory, and forgets the oldest ones.
+func (t *Tail) remember(offset int64, raw []byte) {
+	if len(t.ring) == 0 {
+		t.ringFirst = offset
+	}
+	t.ring[offset] = raw
+	t.ringBytes += len(raw)
+	for ; t.ringFirst < offset && (len(t.ring) > ringSize || t.ringBytes > maxRingBytes); t.ringFirst++ {
+		t.ringBytes -= len(t.ring[t.ringFirst])
+		delete(t.ring, t.ringFirst)
+	}
+}
+
+func (t *Tail) clearRing() {
+	t.ring, t.ringBytes = make(map[int64][]byte, ringSize), 0
+}
+
 // collectBeyondGap collects a record beyond a gap. Once the parts of a snapshot are
 // complete, the state is restored from it.
 func (t *Tail) collectBeyondGap(offset int64, raw []byte) {
@@ -233,7 +252,7 @@
 	}
 	t.applied.Store(upto)
 	t.Observe(upto)
-	t.ring = make(map[int64][]byte, ringSize)
+	t.clearRing()
 	if t.gap == nil {
 		return nil
 	}
