serve bounds the payloads of the jobs that it keeps

Callers ended a process of serve with accepted jobs of legal size: the ledger kept the payload of each until its answer expired, after 24 h by default, and accepted any number of open ones.

The payload of an answered job is dropped: it does not run again, and its fingerprint tells other jobs with the same key.

--- a/cmd/sesameyoke/hostile_test.go
+++ b/cmd/sesameyoke/hostile_test.go
@@ -317,7 +317,7 @@
 
 // crowd returns the clients of the attack.
 func (a attack) crowd(to *target) []func(sent func(), leave <-chan struct{}) {
-	var senders []func(sent func(), leave <-chan struct{})
+	senders := make([]func(sent func(), leave <-chan struct{}), 0, a.clients)
 	for i := range a.clients {
 		senders = append(senders, func(sent func(), leave <-chan struct{}) { a.attend(to, i, sent, leave) })
 	}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -29,6 +29,7 @@
 
 		jobs       sync.Map // job.Key to *slot
 		open       atomic.Int64
+		openBytes  atomic.Int64 // of the payloads of open jobs
 		offset     atomic.Int64
 		newestTime time.Time // latest timestamp of all applied records
 		watches    sync.Map  // record ID to chan Verdict
@@ -67,6 +68,11 @@
 	return int(l.open.Load())
 }
 
+// OpenBytes returns the size of the payloads of unanswered jobs.
+func (l *Ledger) OpenBytes() int64 {
+	return l.openBytes.Load()
+}
+
 // Get returns the entry of a job, or nil if the job is unknown.
 func (l *Ledger) Get(k job.Key) *Entry {
 	v, ok := l.jobs.Load(k)
@@ -156,6 +162,7 @@
 	s.entry.Store(&changed)
 	if changed.Answer != nil {
 		l.open.Add(-1)
+		l.openBytes.Add(-int64(len(e.Job.Payload)))
 		close(s.done)
 	}
 
@@ -178,6 +185,7 @@
 		return Lost
 	}
 	l.open.Add(1)
+	l.openBytes.Add(int64(len(r.Job.Payload)))
 
 	return Won
 }
@@ -239,6 +247,7 @@
 		return false
 	}
 	e.Answer = a
+	e.Job.Payload = "" // it is not needed again: Fingerprint tells other jobs with the same key
 
 	return true
 }
@@ -323,8 +332,10 @@
 	switch {
 	case isOpen && !wasOpen:
 		l.open.Add(1)
+		l.openBytes.Add(int64(len(e.Job.Payload)))
 	case !isOpen && wasOpen:
 		l.open.Add(-1)
+		l.openBytes.Add(-int64(len(previous.Job.Payload)))
 		close(s.done)
 	case !isOpen && !existed:
 		close(s.done)
--- a/internal/run/serve/jobs.go
+++ b/internal/run/serve/jobs.go
@@ -22,6 +22,10 @@
 // offered job.
 const offerInterval = 100 * time.Millisecond
 
+// openShare is the share of the VM's memory that the payloads of open jobs may take: records, snapshots and
+// the planner hold further copies for a time.
+const openShare = 0.05
+
 // submit accepts a job and waits for its answer. A job is accepted once its record is in
 // the log. If the log does not answer, an idempotent job is offered to the planner
 // instead.
@@ -38,6 +42,9 @@
 	if e := v.ledger.Get(j.Key()); e != nil {
 		return v.attach(ctx, e, j, wait)
 	}
+	if !v.hasRoom(j) {
+		return job.NewAnswer(j.Key(), code.Overloaded, "the open jobs take all of the memory for them; the job was not accepted")
+	}
 	began := v.timer.Now()
 	if j.Idempotent && !v.logAlive() {
 		return v.offer(ctx, j, wait)
@@ -61,6 +68,14 @@
 	return job.NewAnswer(j.Key(), code.Unknown, "the log service did not answer; submit the same request again")
 }
 
+// hasRoom reports whether the payload of a job fits beside those of the open jobs. One job always does.
+func (v *VM) hasRoom(j job.Job) bool {
+	limit := int64(openShare * float64(v.Settings.Limits.MemoryMB) * (1 << 20))
+	open := v.ledger.OpenBytes()
+
+	return limit == 0 || open == 0 || open+int64(len(j.Payload)) <= limit
+}
+
 // awaitReady waits up to the accept timeout for a VM that has just started to
 // become ready, and reports whether it is.
 func (v *VM) awaitReady(ctx context.Context) bool {
