--- a/internal/run/engine/orphanend_test.go
+++ b/internal/run/engine/orphanend_test.go
@@ -24,18 +24,22 @@
 // TestOrphanEnd leaves a start without an answer until it is given up. The worker's next incarnation
 // carries it out, and its run ends before the stop has an effect. It guards against an end that is
 // acknowledged and counts for no run, because the run is not on record any more: the task would run again
-// after it was done, or have one more attempt after it had failed.
+// after it was done, or have one more attempt after it had failed. In the last case, a later run has failed
+// before.
 func TestOrphanEnd(t *testing.T) {
-	for _, how := range []target.How{target.Done, target.Failed} {
-		t.Run(string(how), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runOrphanEnd(t, how) })
+	for _, c := range []struct {
+		how     target.How
+		refused int64 // number of the run whose start is refused
+	}{{target.Done, 2}, {target.Failed, 2}, {target.Failed, 3}} {
+		t.Run(fmt.Sprintf("%s/%d", c.how, c.refused), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runOrphanEnd(t, c.how, c.refused) })
 		})
 	}
 }
 
-func runOrphanEnd(t *testing.T, how target.How) {
+func runOrphanEnd(t *testing.T, how target.How, refused int64) {
 	r := newRig(t, 1)
-	r.mutation.config = func(c *engine.Config) { c.Workers = r.certainAcks(r.delayStartBeyondRestart(c.Workers)) }
+	r.mutation.config = func(c *engine.Config) { c.Workers = r.certainAcks(r.delayStartBeyondRestart(c.Workers, refused)) }
 	r.fleet.Outcome = func(work.Task, int64, string) (time.Duration, target.How) { return 200 * time.Millisecond, how }
 	r.fleet.Add("k0", "s", "r0", work.Shape{CPU: 64000, Memory: 64000, Accelerators: 8})
 	r.start("a")
@@ -46,9 +50,9 @@
 	require.Empty(t, r.fleet.Violations())
 }
 
-// delayStartBeyondRestart returns a client whose first start gets no answer. The start of the next run is
+// delayStartBeyondRestart returns a client whose first start gets no answer. The start of a later run is
 // refused; the worker restarts then, and its new incarnation carries the first start out.
-func (r *rig) delayStartBeyondRestart(c *target.Client) *target.Client {
+func (r *rig) delayStartBeyondRestart(c *target.Client, refused int64) *target.Client {
 	var first target.Start
 	delayed := *c
 	delayed.Start = func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
@@ -58,7 +62,7 @@
 			<-ctx.Done()
 
 			return 0, target.ErrUnknown
-		case 2:
+		case refused:
 			time.Sleep(4 * time.Millisecond)
 			r.fleet.Restart(a.ID)
 			r.fleet.CarryOutStart(a.ID, first)
