A start whose repetition can't be sent may still have been received

A task could run twice at a time: an overloaded VM repeats a start that got no answer, and took the outcome of the repetition for that of the start. If the repetition couldn't even connect, the start counted as refused, the capacity was released, and the task was started elsewhere without a stop.

Such a start has no known outcome; it is stopped before the task runs again.

--- a/internal/run/engine/evacuation_test.go
+++ b/internal/run/engine/evacuation_test.go
@@ -48,7 +48,7 @@
 	r := &evacuationRig{rig: newRig(t, 1)}
 	r.domains.Store(&map[string]bool{})
 	r.read.Store(true)
-	r.mutation = mutation{"evacuations", r.configure}
+	r.mutation = mutation{name: "evacuations", config: r.configure}
 
 	return r
 }
--- a/internal/run/engine/longrun_test.go
+++ b/internal/run/engine/longrun_test.go
@@ -37,7 +37,7 @@
 // TestLongRunSequencesDetectShortWaits checks that the sequences notice a planner that does not
 // wait for leases that its predecessors granted.
 func TestLongRunSequencesDetectShortWaits(t *testing.T) {
-	m := mutation{"no wait", func(c *engine.Config) { c.Timing.PredecessorValidity = -time.Hour }}
+	m := mutation{name: "no wait", config: func(c *engine.Config) { c.Timing.PredecessorValidity = -time.Hour }}
 	var found []string
 	for seed := uint64(1); seed <= detectSeeds && len(found) == 0; seed++ {
 		synctest.Test(t, func(t *testing.T) { found = runLongSequence(t, seed, m) })
--- a/internal/run/engine/mutation_test.go
+++ b/internal/run/engine/mutation_test.go
@@ -20,13 +20,14 @@
 
 // mutation disables one safety mechanism of an engine.
 type mutation struct {
-	name   string
-	config func(c *engine.Config)
+	name            string
+	config          func(c *engine.Config)
+	schedulingDelay time.Duration // reported by all VMs; 0 for that of the emulated processor
 }
 
 var mutations = []mutation{
-	{"store fencing", withoutStoreFence},
-	{"durable end before its acknowledgement", withEarlyAcks},
+	{name: "store fencing", config: withoutStoreFence},
+	{name: "durable end before its acknowledgement", config: withEarlyAcks},
 }
 
 // TestSequencesDetectMutations runs the random sequences with one safety mechanism disabled.
--- a/internal/run/engine/rig_test.go
+++ b/internal/run/engine/rig_test.go
@@ -153,6 +153,9 @@
 		Plan: func(ctx context.Context, l *lead.Lease) {
 			c := r.config(st, workers, l)
 			c.MaxCalls, c.SchedulingDelay = int(callsPerCore*v.cores), cpu.queueDelay
+			if r.mutation.schedulingDelay > 0 {
+				c.SchedulingDelay = func() time.Duration { return r.mutation.schedulingDelay }
+			}
 			eng := engine.New(c)
 			v.engine.Store(eng)
 			eng.Run(ctx)
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -138,6 +138,9 @@
 		}
 		a = next
 		a.retried, a.sentBy = a.retried || retried, max(sentBy, a.sentBy)
+		if retried {
+			a.err = uncertain(a.err)
+		}
 		if !errors.Is(a.err, target.ErrUnknown) || !e.overloaded() || !e.Lease.Valid() {
 			break
 		}
