Ends and their acknowledgements in a file of their own

Records of answered acknowledgements are deleted at once, so that looking through them costs nothing where all calls are answered.

--- a/internal/run/engine/acks.go
+++ b/internal/run/engine/acks.go
@@ -94,11 +94,14 @@
 // endAck notes the outcome of a renewal that acknowledges ends. Without an answer, it may still be executed
 // until LateOrderWindow after it was sent.
 func (e *Engine) endAck(w *worker, to recipient, renewal target.LeaseRenewal, r target.Report, err error, sentBy time.Duration) {
-	if errors.Is(err, target.ErrUnknown) {
+	switch {
+	case errors.Is(err, target.ErrUnknown):
 		late := e.lateAcks[w.ID]
 		late.until = max(w.ackBefore.until, sentBy+e.Timing.LateOrderWindow)
 		e.lateAcks[w.ID] = late
-	} else {
+	case w.ackBefore.until == 0:
+		delete(e.lateAcks, w.ID)
+	default:
 		e.lateAcks[w.ID] = w.ackBefore
 	}
 	if err == nil && w.Incarnation == to.incarnation && (r.Incarnation == 0 || r.Incarnation == to.incarnation) {
@@ -113,6 +116,49 @@
 		Int64("number", renewal.Acked).Err(err).Msg("")
 }
 
+// recordEnds processes the reported ends that are new. They are acknowledged to the
+// worker once everything up to them is durable.
+func (e *Engine) recordEnds(w *worker, ends []target.End, inReport map[*member]bool) {
+	highest := w.seenEnd
+	e.logGap(w, ends)
+	for _, end := range ends {
+		m := w.findRun(end.Task, end.Run)
+		if m != nil {
+			inReport[m] = true
+		}
+		if end.Number <= w.seenEnd {
+			continue
+		}
+		highest = max(highest, end.Number)
+		switch {
+		case e.onHold(end.Task.Job):
+			w.holdEnd(end.Number)
+			if m != nil {
+				e.release(m)
+			}
+		case m != nil:
+			m.unit.job.begun = true // the answer to its start may be late or lost
+			e.handleEnd(m, end)
+			if m.unit.orphan { // its task may be waiting, or run under another number
+				e.handleLateEnd(w, end)
+			}
+		default:
+			e.handleLateEnd(w, end)
+		}
+	}
+	if highest == w.seenEnd {
+		return
+	}
+	w.seenEnd = highest
+	incarnation, ackable := w.Incarnation, w.ackable(highest)
+	e.writer.after(func(err error) {
+		if err == nil && w.Incarnation == incarnation {
+			w.durableEnd = max(w.durableEnd, ackable)
+			w.wakeSession()
+		}
+	})
+}
+
 // logGap logs that a report lacks ends before the first new one, which the worker must have forgotten.
 func (e *Engine) logGap(w *worker, ends []target.End) {
 	for _, end := range ends {
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -367,49 +367,6 @@
 	e.stopUnansweredStarts(w)
 }
 
-// recordEnds processes the reported ends that are new. They are acknowledged to the
-// worker once everything up to them is durable.
-func (e *Engine) recordEnds(w *worker, ends []target.End, inReport map[*member]bool) {
-	highest := w.seenEnd
-	e.logGap(w, ends)
-	for _, end := range ends {
-		m := w.findRun(end.Task, end.Run)
-		if m != nil {
-			inReport[m] = true
-		}
-		if end.Number <= w.seenEnd {
-			continue
-		}
-		highest = max(highest, end.Number)
-		switch {
-		case e.onHold(end.Task.Job):
-			w.holdEnd(end.Number)
-			if m != nil {
-				e.release(m)
-			}
-		case m != nil:
-			m.unit.job.begun = true // the answer to its start may be late or lost
-			e.handleEnd(m, end)
-			if m.unit.orphan { // its task may be waiting, or run under another number
-				e.handleLateEnd(w, end)
-			}
-		default:
-			e.handleLateEnd(w, end)
-		}
-	}
-	if highest == w.seenEnd {
-		return
-	}
-	w.seenEnd = highest
-	incarnation, ackable := w.Incarnation, w.ackable(highest)
-	e.writer.after(func(err error) {
-		if err == nil && w.Incarnation == incarnation {
-			w.durableEnd = max(w.durableEnd, ackable)
-			w.wakeSession()
-		}
-	})
-}
-
 // recordRunning processes a run that a worker reports as running.
 func (e *Engine) recordRunning(w *worker, r target.Run, inReport map[*member]bool) {
 	m := w.findRun(r.Task, r.Run)
