--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,7 +25,8 @@
 
 run race -race $others &
 run bubbles -count=1 $bubbles &
-run race1 -race -cpu 1 -run '^Test[A-L]' -skip "^($undetected)\$" $bubbles &
+run race1 -race -cpu 1 -run '^Test[A-C]' -skip "^($undetected)\$" $bubbles &
+run race3 -race -cpu 1 -run '^Test[D-L]' -skip "^($undetected)\$" $bubbles &
 run race2 -race -cpu 1 -skip "^(Test[A-L].*|$undetected)\$" $bubbles &
 wait
 cat "$out"/logs/*
