--- a/internal/run/engine/acksafety_test.go
+++ b/internal/run/engine/acksafety_test.go
@@ -288,7 +288,9 @@
 		require.True(t, r.submit(gang))
 		time.Sleep(5 * time.Second)
 		close(carryOut)
+		h.mu.Lock()
 		require.True(t, lost)
+		h.mu.Unlock()
 		stopped := 0
 		for _, run := range r.fleet.Runs() {
 			if run.Task.Job == "gang" && run.How != target.Done {
@@ -391,7 +393,9 @@
 		var late target.Start
 		h.setStart(func(ctx context.Context, _ *target.Client, _ target.Address, s target.Start) (int64, error) {
 			if s.Run == 1 {
+				h.mu.Lock()
 				late = s
+				h.mu.Unlock()
 
 				return 0, noAnswer(ctx)
 			}
@@ -403,7 +407,9 @@
 		require.True(t, r.submit(oneTask("j")))
 		<-refused
 		r.fleet.Restart("k0")
+		h.mu.Lock()
 		r.fleet.CarryOutStart("k0", late)
+		h.mu.Unlock()
 		time.Sleep(30 * time.Second)
 		for _, run := range r.fleet.Runs() {
 			t.Logf("run %d of %v from %v to %v: %s, acknowledged %v", run.Run, run.Task, run.From.Format("05.000"), run.To.Format("05.000"), run.How, run.Acked)
--- a/internal/run/engine/orphanend_test.go
+++ b/internal/run/engine/orphanend_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,19 +54,19 @@
 // delayStartBeyondRestart returns a client whose first start gets no answer. The start of a later run is
 // refused; the worker restarts then, and its new incarnation carries the first start out.
 func (r *rig) delayStartBeyondRestart(c *target.Client, refused int64) *target.Client {
-	var first target.Start
+	var first atomic.Pointer[target.Start]
 	delayed := *c
 	delayed.Start = func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
 		switch s.Run {
 		case 1:
-			first = s
+			first.Store(&s)
 			<-ctx.Done()
 
 			return 0, target.ErrUnknown
 		case refused:
 			time.Sleep(4 * time.Millisecond)
 			r.fleet.Restart(a.ID)
-			r.fleet.CarryOutStart(a.ID, first)
+			r.fleet.CarryOutStart(a.ID, *first.Load())
 
 			return 0, target.ErrRefused
 		}
@@ -90,7 +91,7 @@
 }
 
 func runBesideLateOrders(t *testing.T, seed uint64) {
-	rnd := rand.New(rand.NewPCG(seed, 5))
+	rnd := &lockedRand{r: rand.New(rand.NewPCG(seed, 5))}
 	r := newRig(t, seed)
 	r.fleet.CrossIncarnations = true
 	r.mutation.config = func(c *engine.Config) { c.Workers = r.certainAcks(c.Workers) }
