--- a/internal/run/engine/acks.go
+++ b/internal/run/engine/acks.go
@@ -15,7 +15,8 @@
 // ends that the planner has not read. Hence a renewal that acknowledges ends is answered at once, and is
 // sent only while it is certain which incarnation receives it.
 
-// confirmAttempts is how often a worker is asked for its incarnation before a start to it is given up.
+// confirmAttempts is how often a worker is asked for its incarnation before a start to it is given up. All
+// attempts together take no longer than a start.
 const confirmAttempts = 2
 
 // errRestarted means that a worker is not the incarnation that is known any more.
@@ -207,7 +208,7 @@
 
 // askIncarnation returns an error unless the worker answers in the incarnation that is known.
 func (e *Engine) askIncarnation(to recipient) error {
-	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout)
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timing.StartTimeout/confirmAttempts)
 	defer cancel()
 	r, err := e.Workers.RenewLease(ctx, to.Address, target.LeaseRenewal{Token: e.Lease.Token})
 	if err == nil && r.Incarnation != 0 && r.Incarnation != to.incarnation {
