--- a/internal/run/engine/discover.go
+++ b/internal/run/engine/discover.go
@@ -111,6 +111,7 @@
 	}
 	if t.Incarnation != 0 && incarnation != 0 && t.Incarnation > incarnation && t.Incarnation != w.superseded {
 		e.handleRestart(w, t.Incarnation, draining)
+		w.noteStart(e.SinceBoot() - e.Now().Sub(time.UnixMilli(t.Incarnation)) - maxClockSkew)
 		e.logStale(w)
 		// The new incarnation has not seen this planner's token yet. A lease renewal tells
 		// it the token, so that it rejects orders that the previous planner may still send.
--- a/internal/run/engine/lease.go
+++ b/internal/run/engine/lease.go
@@ -6,6 +6,7 @@
 	minClockRate = 0.98                   // lowest rate of a worker's clock relative to this VM's
 	clockMargin  = 300 * time.Millisecond // added to the estimate of when a worker's lease has expired
 
+	maxClockSkew = 3 * time.Second // largest difference between the times of day of a worker and this VM
 )
 
 // estimateClock estimates the worker's clock. The estimate is never ahead of that clock.
