--- a/review/_stand3/deployment.go
+++ b/review/_stand3/deployment.go
@@ -28,8 +28,8 @@
 
 const (
 	portsPerVM   = 8
-	firstPort    = 33000 // below the ports that the system gives to outgoing connections on most machines
-	lastPort     = 39900
+	firstPort    = 10000 // below the ports that the system gives to outgoing connections
+	lastPort     = 19900
 	readyTimeout = 15 * time.Second
 	clientWait   = 3 * time.Second // the clients' deadline
 )
