--- a/review/_stand3/deployment.go
+++ b/review/_stand3/deployment.go
@@ -220,7 +220,7 @@
 		"services": []any{map[string]any{"name": "s", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "spare": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
-			map[string]any{"name": "t1", "apiKeys": []string{"key-of-t1"}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}},
+			map[string]any{"name": "t1", "apiKeys": []string{"key-of-t1"}, "priority": 1, "guaranteed": map[string]any{"gpu": 16}},
 			map[string]any{"name": "t2", "apiKeys": []string{"key-of-t2"}, "priority": 1, "guaranteed": map[string]any{"gpu": 8}},
 		},
 	})
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -13,6 +13,7 @@
 	"copies":       copies,
 	"crashes":      crashes,
 	"publiccancel": publicCancel,
+	"reclaim":      reclaim,
 }
 
 func main() {
