--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -10,10 +10,10 @@
 // cases are the script cases by number. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(ctx context.Context, record string, trouble bool) (string, error){
 	"avail":        avail,
-	"copies":       copies,
 	"crashes":      crashes,
 	"publiccancel": publicCancel,
 	"reclaim":      reclaim,
+	"restart":      restart,
 }
 
 func main() {
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -65,7 +65,8 @@
 	workers []*worker
 	mu      sync.Mutex
 	records []*lastingRecord
-	usage   func(task string) int // fifth entry of a row of running tasks
+	usage   func(task string) int                      // fifth entry of a row of running tasks
+	fails   func(task string, run int64) time.Duration // after which a run fails; 0 for never
 }
 
 func newLasting(d *deployment, n int, usage func(task string) int) (*lasting, error) {
@@ -214,7 +215,7 @@
 	return http.StatusOK, map[string]any{"born": w.born.UnixMilli(), "running": running, "endedRuns": append([][]any{}, w.ends...)}
 }
 
-// advance ends runs that have been stopped or whose lease has lapsed.
+// advance ends runs that have been stopped, that fail, or whose lease has lapsed.
 func (l *lasting) advance(w *worker) {
 	for l.d.ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
@@ -226,6 +227,8 @@
 				how = "stopped"
 			case w.clock() > w.deadline:
 				how = "lapsed"
+			case l.fails != nil && l.fails(r.task, r.run) > 0 && time.Since(r.from) > l.fails(r.task, r.run):
+				how = "failed"
 			default:
 				continue
 			}
