--- a/review/_stand3/avail.go
+++ b/review/_stand3/avail.go
@@ -27,7 +27,7 @@
 	}
 	defer d.close()
 	var busy atomic.Bool
-	l, err := newLasting(d, fillers, func(task string) int {
+	l, err := newLasting(d, fillers, eight, func(task string) int {
 		switch {
 		case !strings.HasPrefix(task, servingJob):
 			return 500
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -10,7 +10,7 @@
 // cases are the script cases by number. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(ctx context.Context, record string, trouble bool) (string, error){
 	"avail":        avail,
-	"crashes":      crashes,
+	"latestart":    lateStart,
 	"publiccancel": publicCancel,
 	"reclaim":      reclaim,
 	"restart":      restart,
--- a/review/_stand3/reclaim.go
+++ b/review/_stand3/reclaim.go
@@ -24,7 +24,7 @@
 		return "", err
 	}
 	defer d.close()
-	l, err := newLasting(d, reclaimWork, func(string) int { return 500 })
+	l, err := newLasting(d, reclaimWork, eight, func(string) int { return 500 })
 	if err != nil {
 		return "", err
 	}
--- a/review/_stand3/restart.go
+++ b/review/_stand3/restart.go
@@ -30,16 +30,16 @@
 		return "", err
 	}
 	defer d.close()
-	l, err := newLasting(d, restartFleet, func(string) int { return 500 })
+	l, err := newLasting(d, restartFleet, eight, func(string) int { return 500 })
 	if err != nil {
 		return "", err
 	}
-	l.fails = func(task string, run int64) time.Duration {
+	l.ends = func(task string, run int64) (time.Duration, string) {
 		if strings.HasPrefix(task, lastingJob) && run == 1 {
-			return firstRun
+			return firstRun, "failed"
 		}
 
-		return 0
+		return 0, ""
 	}
 	low := batch(false)
 	low.Name, low.PathPrefix, low.Priority = "low", "/low/", 2
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	startup      = 500 * time.Millisecond // until a task that lasts is at work
-	killGrace    = 300 * time.Millisecond // less than killGraceMs
-	entryRefresh = 1500 * time.Millisecond
+	startup      = 500 * time.Millisecond  // until a task that lasts is at work
+	killGrace    = 300 * time.Millisecond  // less than killGraceMs
+	entryRefresh = 1500 * time.Millisecond // heartbeatMs
+	firstEntry   = time.Second             // from the start of a life until its first entry; less than heartbeatMs
 )
 
 type (
@@ -27,9 +28,11 @@
 		d       *deployment
 		id      string
 		address string
-		born    time.Time
+		server  *http.Server
 
 		mu       sync.Mutex
+		born     time.Time
+		down     bool
 		token    int64
 		deadline int64
 		runs     map[string]*lastingRun
@@ -59,17 +62,24 @@
 	}
 )
 
+// eight is the number of accelerators of a usual worker.
+func eight(int) int { return 8 }
+
 // lasting holds the workers with tasks that last, and what they have run.
 type lasting struct {
 	d       *deployment
 	workers []*worker
 	mu      sync.Mutex
+	orders  int // all orders that workers have received
 	records []*lastingRecord
-	usage   func(task string) int                      // fifth entry of a row of running tasks
-	fails   func(task string, run int64) time.Duration // after which a run fails; 0 for never
+	usage   func(task string) int // fifth entry of a row of running tasks
+	// ends tells after what time a run ends and how; 0 for never.
+	ends func(task string, run int64) (time.Duration, string)
+	// late tells how much later than it was sent a start is carried out, without an answer; 0 for at once.
+	late func(task string, run int64) time.Duration
 }
 
-func newLasting(d *deployment, n int, usage func(task string) int) (*lasting, error) {
+func newLasting(d *deployment, n int, accelerators func(i int) int, usage func(task string) int) (*lasting, error) {
 	l := &lasting{d: d, usage: usage}
 	for i := range n {
 		w := &worker{d: d, id: fmt.Sprintf("m%d", i), born: time.Now(), runs: map[string]*lastingRun{}, highest: map[string]int64{}, changed: make(chan struct{})}
@@ -78,29 +88,83 @@
 			return nil, err
 		}
 		w.address = ln.Addr().String()
-		m := http.NewServeMux()
-		m.HandleFunc("POST /run-start", l.handler(w, l.start))
-		m.HandleFunc("POST /run-stop", l.handler(w, l.stop))
-		m.HandleFunc("POST /pace", l.handler(w, l.pace))
-		m.HandleFunc("POST /hold", l.handler(w, l.hold))
-		s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
-		go func() { _ = s.Serve(ln) }()
+		l.serve(w, ln)
 		go l.advance(w)
 		l.workers = append(l.workers, w)
-		go l.publish(w, i)
+		go l.publish(w, i, accelerators(i))
 	}
 
 	return l, nil
 }
 
+// serve starts the server of a life of the worker.
+func (l *lasting) serve(w *worker, ln net.Listener) {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /run-start", l.handler(w, l.start))
+	m.HandleFunc("POST /run-stop", l.handler(w, l.stop))
+	m.HandleFunc("POST /pace", l.handler(w, l.pace))
+	m.HandleFunc("POST /hold", l.handler(w, l.hold))
+	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	w.server = s
+	go func() { _ = s.Serve(ln) }()
+}
+
+// crash ends the worker with all that it runs, and starts it again under its id after a time. It holds and knows
+// nothing of before then. Its first entry in the list follows firstEntry later.
+func (l *lasting) crash(w *worker, down time.Duration) error {
+	l.d.notef("%s: crashes for %v", w.id, down)
+	w.mu.Lock()
+	w.down = true
+	for _, r := range w.runs {
+		l.finish(r, "crashed")
+	}
+	w.token, w.deadline, w.number = 0, 0, 0
+	w.runs, w.highest, w.ends = map[string]*lastingRun{}, map[string]int64{}, nil
+	w.mu.Unlock()
+	_ = w.server.Close()
+	time.Sleep(down)
+	ln, err := (&net.ListenConfig{}).Listen(l.d.ctx, "tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.born, w.down = time.Now(), false
+	w.mu.Unlock()
+	l.serve(w, ln)
+	l.d.notef("%s: is back", w.id)
+
+	return nil
+}
+
 // publish writes the worker's entry in the list every entryRefresh.
-func (l *lasting) publish(w *worker, i int) {
+func (l *lasting) publish(w *worker, i, accelerators int) {
+	var life time.Time
 	for seq := int64(1); l.d.ctx.Err() == nil; seq++ {
+		w.mu.Lock()
+		born, down := w.born, w.down
+		w.mu.Unlock()
+		if down {
+			time.Sleep(10 * time.Millisecond)
+
+			continue
+		}
+		if !life.IsZero() && life != born {
+			time.Sleep(firstEntry - time.Since(born))
+			seq = 1
+		}
+		life = born
 		l.d.platform.Store.Put(platform.ServersTopic, w.id, platform.ServerRecord(target.Worker{
 			ID: w.id, Host: w.address, Service: "s", Domain: "z1", Labels: []string{"a", fmt.Sprintf("r%d", i/6)}, Rack: fmt.Sprintf("r%d", i/6),
-			Capacity: work.Shape{CPU: 32000, Memory: 65536, Accelerators: 8}, Incarnation: w.born.UnixMilli(), Clock: w.clock(), Sequence: seq,
+			Capacity: work.Shape{CPU: 32000, Memory: 65536, Accelerators: accelerators}, Incarnation: born.UnixMilli(), Clock: time.Since(born).Milliseconds(), Sequence: seq,
 		}))
-		time.Sleep(entryRefresh)
+		for until := time.Now().Add(entryRefresh); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+			w.mu.Lock()
+			changed := w.down || w.born != life
+			w.mu.Unlock()
+			if changed {
+				break
+			}
+		}
 	}
 }
 
@@ -130,20 +194,42 @@
 
 			return
 		}
-		w.mu.Lock()
-		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
-		if o.FencingToken >= w.token {
-			w.token = o.FencingToken
-			status, body = f(w, o)
+		l.mu.Lock()
+		l.orders++
+		l.mu.Unlock()
+		if r.URL.Path == "/run-start" && l.late != nil {
+			if after := l.late(o.Task, o.RunID); after > 0 {
+				l.d.notef("%s: start of %s run %d gets no answer", w.id, o.Task, o.RunID)
+				go func() {
+					time.Sleep(after)
+					status, _ := l.execute(w, o, f)
+					l.d.notef("%s: start of %s run %d is carried out %v late: %d", w.id, o.Task, o.RunID, after, status)
+				}()
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 		}
-		body["clockMs"] = w.clock()
-		w.mu.Unlock()
+		status, body := l.execute(w, o, f)
 		rw.Header().Set("Content-Type", "application/json")
 		rw.WriteHeader(status)
 		_ = json.NewEncoder(rw).Encode(body)
 	}
 }
 
+// execute carries an order out unless its token is too low.
+func (l *lasting) execute(w *worker, o order, f func(w *worker, o order) (int, map[string]any)) (int, map[string]any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+	if o.FencingToken >= w.token {
+		w.token = o.FencingToken
+		status, body = f(w, o)
+	}
+	body["clockMs"] = w.clock()
+
+	return status, body
+}
+
 func (l *lasting) start(w *worker, o order) (int, map[string]any) {
 	w.deadline = max(w.deadline, min(o.DeadlineMs, w.clock()+10000))
 	r := w.runs[o.Task]
@@ -215,7 +301,7 @@
 	return http.StatusOK, map[string]any{"born": w.born.UnixMilli(), "running": running, "endedRuns": append([][]any{}, w.ends...)}
 }
 
-// advance ends runs that have been stopped, that fail, or whose lease has lapsed.
+// advance ends runs that have been stopped, that end by themselves, or whose lease has lapsed.
 func (l *lasting) advance(w *worker) {
 	for l.d.ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
@@ -227,8 +313,12 @@
 				how = "stopped"
 			case w.clock() > w.deadline:
 				how = "lapsed"
-			case l.fails != nil && l.fails(r.task, r.run) > 0 && time.Since(r.from) > l.fails(r.task, r.run):
-				how = "failed"
+			case l.ends != nil:
+				after, end := l.ends(r.task, r.run)
+				if after == 0 || time.Since(r.from) < after {
+					continue
+				}
+				how = end
 			default:
 				continue
 			}
