--- a/review/_stand3/avail.go
+++ b/review/_stand3/avail.go
@@ -45,10 +45,10 @@
 		return "", err
 	}
 	time.Sleep(4 * time.Second)
-	serving := fmt.Sprintf(`{"spec":"serve","steps":[{"count":%d,"cpu":12000,"memMb":2048,"gpu":1,"estimateMs":1000,"antiAffinity":1,"longRunning":true,"image":"web","targetMs":%d,"mayMiss":1}]}`, fillers, targetMs)
-	filling := fmt.Sprintf(`{"spec":"fill","steps":[{"count":%d,"cpu":8000,"memMb":2048,"estimateMs":1000,"antiAffinity":1,"longRunning":true,"image":"index","fills":true,"mayMiss":%d}]}`, fillers, mayMiss)
+	serving := fmt.Sprintf(`{"spec":"serve","steps":[{"count":%d,"cpu":12000,"$memory":2048,"gpu":1,"estimateMs":1000,"$perWorker":1,"longRunning":true,"image":"web","targetMs":%d,"mayMiss":1}]}`, fillers, targetMs)
+	filling := fmt.Sprintf(`{"spec":"fill","steps":[{"count":%d,"cpu":8000,"$memory":2048,"estimateMs":1000,"$perWorker":1,"longRunning":true,"image":"index","fills":true,"mayMiss":%d}]}`, fillers, mayMiss)
 	for id, body := range map[string]string{servingJob: serving, fillingJob: filling} {
-		if status, _ := d.call(d.vms[0], "POST", "/batch/"+id, "key-of-t1", []byte(body)); status != 200 {
+		if status, _ := d.call(d.vms[0], "POST", "/batch/"+id, "key-of-t1", expand(body)); status != 200 {
 			return "", fmt.Errorf("job not accepted: %d", status)
 		}
 	}
--- a/review/_stand3/deployment.go
+++ b/review/_stand3/deployment.go
@@ -162,7 +162,7 @@
 	}
 	h := d.platform.Handler()
 	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/log-append" && r.URL.Query().Has("at") {
+		if r.URL.Path == names["append"] && r.URL.Query().Has("at") {
 			d.writer.Store(int32(i))
 		}
 		if g := v.gate.Load(); g != nil && (*g)(w, r) {
--- a/review/_stand3/latestart.go
+++ b/review/_stand3/latestart.go
@@ -114,8 +114,8 @@
 
 // post hands in a job of one task.
 func post(d *deployment, prefix, id string, length time.Duration) error {
-	body := fmt.Sprintf(`{"spec":"once","steps":[{"count":1,"cpu":1000,"memMb":1024,"gpu":8,"estimateMs":%d}]}`, length.Milliseconds())
-	if status, _ := d.call(d.vms[0], "POST", prefix+id, "key-of-t1", []byte(body)); status != 200 {
+	body := fmt.Sprintf(`{"spec":"once","steps":[{"count":1,"cpu":1000,"$memory":1024,"gpu":8,"estimateMs":%d}]}`, length.Milliseconds())
+	if status, _ := d.call(d.vms[0], "POST", prefix+id, "key-of-t1", expand(body)); status != 200 {
 		return fmt.Errorf("job not accepted: %d", status)
 	}
 
--- a/review/_stand3/reclaim.go
+++ b/review/_stand3/reclaim.go
@@ -37,8 +37,8 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		body := fmt.Sprintf(`{"spec":"lasting","steps":[{"count":%d,"cpu":4000,"memMb":4096,"gpu":8,"estimateMs":1000,"longRunning":true,"image":"web"}]}`, borrowerTasks)
-		if status, _ := d.call(d.vms[0], "POST", "/batch/"+borrower, "key-of-t2", []byte(body)); status != 200 {
+		body := fmt.Sprintf(`{"spec":"lasting","steps":[{"count":%d,"cpu":4000,"$memory":4096,"gpu":8,"estimateMs":1000,"longRunning":true,"image":"web"}]}`, borrowerTasks)
+		if status, _ := d.call(d.vms[0], "POST", "/batch/"+borrower, "key-of-t2", expand(body)); status != 200 {
 			return "", fmt.Errorf("job not accepted: %d", status)
 		}
 		time.Sleep(6 * time.Second)
@@ -46,8 +46,8 @@
 			return "", fmt.Errorf("%d of %d tasks run", n, borrowerTasks)
 		}
 	}
-	body := fmt.Sprintf(`{"spec":"urgent","steps":[{"count":%d,"cpu":2000,"memMb":1024,"gpu":8,"estimateMs":9000}]}`, urgentTasks)
-	if status, _ := d.call(d.vms[1], "POST", "/urgent/"+urgentJob, "key-of-t1", []byte(body)); status != 200 {
+	body := fmt.Sprintf(`{"spec":"urgent","steps":[{"count":%d,"cpu":2000,"$memory":1024,"gpu":8,"estimateMs":9000}]}`, urgentTasks)
+	if status, _ := d.call(d.vms[1], "POST", "/urgent/"+urgentJob, "key-of-t1", expand(body)); status != 200 {
 		return "", fmt.Errorf("urgent job not accepted: %d", status)
 	}
 	acked := time.Now()
--- a/review/_stand3/restart.go
+++ b/review/_stand3/restart.go
@@ -49,21 +49,21 @@
 	}
 	time.Sleep(4 * time.Second)
 	post := func(prefix, id, body string) error {
-		if status, _ := d.call(d.vms[0], "POST", prefix+id, "key-of-t1", []byte(body)); status != 200 {
+		if status, _ := d.call(d.vms[0], "POST", prefix+id, "key-of-t1", expand(body)); status != 200 {
 			return fmt.Errorf("job %s not accepted: %d", id, status)
 		}
 		time.Sleep(2 * time.Second)
 
 		return nil
 	}
-	if err := post("/low/", lastingJob, fmt.Sprintf(`{"spec":"lasting","steps":[{"count":1,"cpu":1000,"memMb":1024,"gpu":8,"estimateMs":%d,"longRunning":true,"image":"web"}]}`, longEstimate)); err != nil {
+	if err := post("/low/", lastingJob, fmt.Sprintf(`{"spec":"lasting","steps":[{"count":1,"cpu":1000,"$memory":1024,"gpu":8,"estimateMs":%d,"longRunning":true,"image":"web"}]}`, longEstimate)); err != nil {
 		return "", err
 	}
-	if err := post("/batch/", holderJob, fmt.Sprintf(`{"spec":"long","steps":[{"count":%d,"cpu":1000,"memMb":1024,"gpu":8,"estimateMs":%d}]}`, holderTasks, longEstimate)); err != nil {
+	if err := post("/batch/", holderJob, fmt.Sprintf(`{"spec":"long","steps":[{"count":%d,"cpu":1000,"$memory":1024,"gpu":8,"estimateMs":%d}]}`, holderTasks, longEstimate)); err != nil {
 		return "", err
 	}
 	if trouble {
-		if err := post("/batch/", gangJob, fmt.Sprintf(`{"spec":"gang","steps":[{"count":%d,"cpu":1000,"memMb":1024,"gpu":8,"estimateMs":%d,"gang":true}]}`, gangTasks, longEstimate)); err != nil {
+		if err := post("/batch/", gangJob, fmt.Sprintf(`{"spec":"gang","steps":[{"count":%d,"cpu":1000,"$memory":1024,"gpu":8,"estimateMs":%d,"gang":true}]}`, gangTasks, longEstimate)); err != nil {
 			return "", err
 		}
 	}
--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -170,14 +170,15 @@
 
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
 
+// order is the body of any call. Its names need no tags: package json ignores their case.
 type order struct {
-	Task         string `json:"task"`
-	RunID        int64  `json:"runId"`
-	DeadlineMs   int64  `json:"deadlineMs"`
-	FencingToken int64  `json:"fencingToken"`
-	AckCursor    int64  `json:"ackCursor"`
-	WaitMs       int64  `json:"waitMs"`
-	Percent      int    `json:"percent"`
+	Task         string
+	RunID        int64
+	DeadlineMs   int64
+	FencingToken int64
+	AckCursor    int64
+	WaitMs       int64
+	Percent      int
 }
 
 // handler decodes an order, refuses those of another incarnation or with a lower token, and replies.
@@ -189,7 +190,7 @@
 
 			return
 		}
-		if r.Header.Get("Expected-Instance") != w.id {
+		if r.Header.Get(names["instance"]) != w.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 
 			return
@@ -298,7 +299,7 @@
 		running = append(running, []any{r.task, r.run, "", percent, l.usage(r.task)})
 	}
 
-	return http.StatusOK, map[string]any{"born": w.born.UnixMilli(), "running": running, "endedRuns": append([][]any{}, w.ends...)}
+	return http.StatusOK, map[string]any{"born": w.born.UnixMilli(), "running": running, names["ended"]: append([][]any{}, w.ends...)}
 }
 
 // advance ends runs that have been stopped, that end by themselves, or whose lease has lapsed.
