--- a/review/_stand3/deployment.go
+++ b/review/_stand3/deployment.go
@@ -279,9 +279,16 @@
 	v.cmd = exec.Command(words[0], words[1:]...)
 	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + v.settings}
 	v.cmd.Stdout, v.cmd.Stderr = out, out
+	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	processes.Lock()
+	defer processes.Unlock()
+	if processes.ended {
+		return fmt.Errorf("the case is being ended")
+	}
 	if err := v.cmd.Start(); err != nil {
 		return err
 	}
+	processes.all = append(processes.all, v.cmd.Process)
 	v.ended.Store(nil)
 	v.exited = make(chan struct{})
 	v.d.notef("%s: started", v.name)
@@ -318,6 +325,24 @@
 	return r.StatusCode == http.StatusOK
 }
 
+// processes are all processes that have been started.
+var processes struct {
+	sync.Mutex
+
+	all   []*os.Process
+	ended bool
+}
+
+// killAll ends all processes, and lets no further ones start.
+func killAll() {
+	processes.Lock()
+	defer processes.Unlock()
+	processes.ended = true
+	for _, p := range processes.all {
+		_ = p.Kill() // fails if it has ended already
+	}
+}
+
 // close ends all processes. The directory with the logs stays if KEEP is set.
 func (d *deployment) close() {
 	for _, r := range d.platform.Fleet.Runs() {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// timeLimit ends a case that takes too long.
+const timeLimit = 118 * time.Second
+
 // cases are the script cases by number. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(ctx context.Context, record string, trouble bool) (string, error){
 	"avail":        avail,
@@ -21,7 +26,8 @@
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(2)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
+	go abort()
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	broken, err := cases[os.Args[1]](ctx, os.Args[2], os.Getenv("TROUBLE") != "0")
 	switch {
@@ -34,3 +40,17 @@
 	}
 	fmt.Println("rule held")
 }
+
+// abort ends all processes and the case on a signal, or when it takes too long.
+func abort() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		fmt.Println("the case was ended by a signal:", s)
+	case <-time.After(timeLimit):
+		fmt.Println("the case took too long")
+	}
+	killAll()
+	os.Exit(2)
+}
