A cancellation on a public route is never stored as a deletion

Cause: the value of the record was the name of the caller's workspace, which is empty on a public route. In a keyed topic an empty value deletes the key, so neither the planner nor its successor saw the cancellation.

A VM hands nothing in without a value: it answers an error. Jobs and queues are encoded and never empty; serve has neither public routes nor keyed records.

--- a/internal/core/work/record.go
+++ b/internal/core/work/record.go
@@ -38,6 +38,10 @@
 	SpeedRecord                    // estimated speeds of the workers of an uneven fleet; written only by the planner
 )
 
+// noWorkspace precedes the workspace in a cancellation of a caller who has none, on a public queue. The value is not
+// empty then: an empty value deletes the record.
+const noWorkspace = "\x00"
+
 // Kind is the kind of a record.
 type Kind int
 
@@ -71,6 +75,19 @@
 	return b, errors.Wrap(err, "encode record")
 }
 
+// EncodeCancel returns the value of a CancelRecord of a caller's workspace. It is never empty. Earlier versions wrote
+// the name alone, also an empty one.
+func EncodeCancel(workspace string) []byte {
+	if workspace == "" || strings.HasPrefix(workspace, noWorkspace) {
+		return []byte(noWorkspace + workspace)
+	}
+
+	return []byte(workspace)
+}
+
+// DecodeCancel returns the workspace in the value of a CancelRecord.
+func DecodeCancel(value []byte) string { return strings.TrimPrefix(string(value), noWorkspace) }
+
 // DecodeJob decodes and validates an open record.
 func DecodeJob(b []byte) (Job, error) {
 	var j Job
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -88,6 +88,9 @@
 	}
 )
 
+// IsDeletion reports whether the record deletes its key.
+func (r Record) IsDeletion() bool { return len(r.Value) == 0 }
+
 // Size returns the size of a record in the store, in bytes.
 func (r Record) Size() int { return 1 + len(r.Key) + len(r.Value) } // one byte holds the length of the key
 
--- a/internal/run/engine/handins.go
+++ b/internal/run/engine/handins.go
@@ -75,7 +75,7 @@
 // applyHandin processes one record of HandinTopic. Records without a value are deletions.
 func (e *Engine) applyHandin(r store.Record) {
 	kind, id := work.ParseKey(r.Key)
-	if len(r.Value) == 0 {
+	if r.IsDeletion() {
 		return
 	}
 	switch kind {
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -272,7 +272,7 @@
 // applyCancel applies a cancellation that an entry VM wrote to the store.
 func (e *Engine) applyCancel(r store.Record) {
 	_, id := work.ParseKey(r.Key)
-	workspace := string(r.Value)
+	workspace := work.DecodeCancel(r.Value)
 	j := e.jobs[id]
 	if j == nil {
 		early := earlyCancel{workspace: workspace, until: e.SinceBoot() + e.Timing.Retention}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,7 +190,7 @@
 		return code.Overloaded, 0
 	}
 	switch c = e.appendHandin(ctx, handin...); {
-	case c == code.OK, c == code.TooLarge && !uncertain:
+	case c == code.OK, c == code.BadRequest, c == code.TooLarge && !uncertain:
 		return c, 0
 	case c == code.Unknown:
 		uncertain = true
@@ -207,8 +208,14 @@
 }
 
 // appendHandin appends records to HandinTopic, from which the planner reads them, without
-// calling the planner. The key of the first one is logged.
+// calling the planner. The key of the first one is logged. A record without a value would delete its key, so
+// nothing is appended then.
 func (e *Entry) appendHandin(ctx context.Context, records ...store.Record) code.Code {
+	if slices.ContainsFunc(records, store.Record.IsDeletion) {
+		e.Log.Error().Str("event", "handin-empty").Str("key", records[0].Key).Msg("")
+
+		return code.BadRequest
+	}
 	ctx, cancel := context.WithTimeout(ctx, handinTimeout)
 	defer cancel()
 	_, err := e.Store.Append(ctx, store.Append{Topic: engine.HandinTopic, Records: records, ExpectedEnd: -1})
@@ -333,7 +340,8 @@
 				return c
 			}
 		}
-		if c = e.appendHandin(ctx, store.Record{Key: work.Key(work.CancelRecord, id), Value: []byte(workspace)}); c == code.OK {
+		c = e.appendHandin(ctx, store.Record{Key: work.Key(work.CancelRecord, id), Value: work.EncodeCancel(workspace)})
+		if c == code.OK || c == code.BadRequest {
 			return c
 		}
 		timer.Pause(ctx, retryInterval)
