Public queues: callers without a workspace reach their jobs

On a public queue, GET and DELETE answered 410 for an accepted job if the caller's workspace and the job's differed: a job handed in without a key, asked for with one (also after the queue has ceased to be public), or a job of a workspace, asked for without a key or with a withdrawn one. The empty workspace was taken for one more workspace.

Jobs without a workspace can now be reached by whoever knows their ID, and callers without one reach jobs of public queues only. TestPublicAccess: 3 of 6 cases failed before; the others keep workspaces apart, as before.

--- a/internal/run/engine/jobs.go
+++ b/internal/run/engine/jobs.go
@@ -115,6 +115,20 @@
 	return j
 }
 
+// mayAccess reports whether a caller of a workspace may see and cancel a job. A public queue asks for no key, so its
+// callers may have no workspace, and its jobs may belong to none. The queue may have become public, or ceased to be,
+// since the job was accepted.
+func (e *Engine) mayAccess(j *job, workspace string) bool {
+	switch {
+	case j.Workspace == workspace, j.Workspace == "":
+		return true
+	case workspace == "":
+		return e.queuePolicy(j.Queue).Public
+	}
+
+	return false
+}
+
 // Cancel cancels a job and returns when the cancellation is durable.
 func (e *Engine) Cancel(ctx context.Context, id, workspace string) error {
 	if e.mayBeUnread(ctx, id) {
@@ -132,7 +146,7 @@
 
 		return ErrNotPlanning
 	}
-	if j == nil || j.Workspace != workspace {
+	if j == nil || !e.mayAccess(j, workspace) {
 		if j == nil && len(e.earlyCancels) < maxEarlyCancels {
 			early := e.earlyCancels[id] // keeps what is known of hand-in records
 			early.workspace, early.until = workspace, e.SinceBoot()+e.Timing.Retention
@@ -158,7 +172,7 @@
 // applyEarlyCancel cancels a job whose cancellation arrived before it, for example because its
 // first hand-in was delayed.
 func (e *Engine) applyEarlyCancel(j *job) {
-	if early, ok := e.earlyCancels[j.ID]; ok && early.workspace == j.Workspace {
+	if early, ok := e.earlyCancels[j.ID]; ok && e.mayAccess(j, early.workspace) {
 		delete(e.earlyCancels, j.ID)
 		if early.handin.cancel {
 			j.handin.noteCancel(early.handin.newest)
@@ -208,7 +222,7 @@
 	if (j == nil && (e.unreadableJobs[id] || !e.handinsCurrent())) || (j != nil && !j.durable) {
 		return 0, ErrNotPlanning // the job may exist: an entry VM may have written it to the store itself
 	}
-	if j == nil || j.Workspace != workspace {
+	if j == nil || !e.mayAccess(j, workspace) {
 		return 0, ErrUnknownJob
 	}
 	switch {
--- a/internal/run/engine/publiccancel_test.go
+++ b/internal/run/engine/publiccancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"sesameyoke/internal/core/work"
 	"sesameyoke/internal/peer/store"
 	"sesameyoke/internal/peer/target"
+	"sesameyoke/internal/run/engine"
 	"sesameyoke/internal/standin/fleet"
 )
 
@@ -75,3 +77,46 @@
 	require.Equal(t, work.Cancelled, p)
 	require.Equal(t, 1, runs)
 }
+
+// TestPublicAccess asks for the state of a job and cancels it with and without a workspace, on a queue that is public
+// at the submission, at the call, or at both. It guards against 410 for an accepted job, and against a caller without a
+// workspace who reaches a job of a queue that is not public.
+func TestPublicAccess(t *testing.T) {
+	for _, c := range []struct {
+		owner, caller   string
+		public, unknown bool // public at the call
+	}{
+		{owner: "", caller: "", public: true},
+		{owner: "", caller: "w", public: true},
+		{owner: "", caller: "w", public: false},
+		{owner: "w", caller: "", public: true},
+		{owner: "w", caller: "", public: false, unknown: true},
+		{owner: "w", caller: "v", public: true, unknown: true},
+	} {
+		t.Run(fmt.Sprintf("%q/%q/%t", c.owner, c.caller, c.public), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := publicRig(t)
+				j := twoStepJob(c.owner)
+				r.fleet.RecordSubmission(j)
+				_, eng := r.planner()
+				require.NoError(t, eng.Submit(t.Context(), j))
+				p := *r.policy.Load()
+				p.Version, p.Queues = p.Version+1, slices.Clone(p.Queues)
+				p.Queues[0].Public = c.public
+				r.setPolicy(&p)
+				time.Sleep(time.Second)
+				_, stateErr := eng.State("j", c.caller)
+				cancelErr := eng.Cancel(t.Context(), "j", c.caller)
+				r.stop()
+				if c.unknown {
+					require.ErrorIs(t, stateErr, engine.ErrUnknownJob)
+					require.ErrorIs(t, cancelErr, engine.ErrUnknownJob)
+
+					return
+				}
+				require.NoError(t, stateErr)
+				require.NoError(t, cancelErr)
+			})
+		})
+	}
+}
--- a/internal/run/engine/recover.go
+++ b/internal/run/engine/recover.go
@@ -282,7 +282,7 @@
 		return
 	}
 	j.handin.noteCancel(r.Offset)
-	if j.Workspace == workspace {
+	if e.mayAccess(j, workspace) {
 		e.cancelJob(j, "record")
 	}
 }
