Guarantees may stop all long-running tasks of a step without a limit

Cause: a step that doesn't say how many of its tasks may be unavailable counted as one that says 1. Where the guaranteed job needs two workers, no eviction plan was found, in no pass. The availability rule covers steps that set a limit only.

Such a step now lets a guaranteed unit stop all its tasks. Maintenance still takes them one by one.

--- a/internal/core/work/job.go
+++ b/internal/core/work/job.go
@@ -44,7 +44,7 @@
 		// milliseconds; 0 for none. The tag only keeps the name that errors of decoding show.
 		LatencyTarget  int64 `cbor:"Target"`
 		BestEffort     bool  // best-effort: uses the CPU time that other tasks leave idle
-		MaxUnavailable int   // long-running tasks that the scheduler may make unavailable at once; 0 counts as 1
+		MaxUnavailable int   // long-running tasks that the scheduler may make unavailable at once; 0 counts as 1 in maintenance, and sets no limit for guarantees
 	}
 
 	// Job is a job as the caller submitted it.
--- a/internal/run/engine/lasting.go
+++ b/internal/run/engine/lasting.go
@@ -3,7 +3,8 @@
 import "sesameyoke/internal/core/placement"
 
 // stoppableTasks returns, by step, how many long-running tasks may be stopped without exceeding the
-// number of tasks of the step that may be unavailable at once. It returns nil if no guarantee covers
+// number of tasks of the step that may be unavailable at once. A step that states no such number is not
+// protected from a guarantee: all its tasks may be stopped. It returns nil if no guarantee covers
 // a job, because only guaranteed jobs may stop such tasks.
 func (e *Engine) stoppableTasks(guaranteed map[*job]bool) map[stepKey]int {
 	covered := false
@@ -19,8 +20,13 @@
 		if u.orphan || !st.LongRunning {
 			continue
 		}
+		if st.MaxUnavailable == 0 {
+			n[u.stepKey()] = st.Count
+
+			continue
+		}
 		if _, ok := n[u.stepKey()]; !ok {
-			n[u.stepKey()] = max(1, st.MaxUnavailable) - st.Count
+			n[u.stepKey()] = st.MaxUnavailable - st.Count
 		}
 		if u.aborted {
 			continue
