Long-running tasks that can't be stopped stay off the accelerators of guarantees

Cause: evictions respect mayMiss, placements did not look at it. Tasks without room count against mayMiss as well, so fewer of the others may be stopped.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -33,16 +33,18 @@
 // evict selects the cheapest plan that evicts lower-priority runs to make room for all
 // tasks of a unit, and claims the workers for it. It reports whether there is such a plan.
 func evict(workers []Worker, racks []rack, u *Unit, r *Result) bool {
-	var best *evictionPlan
-	if u.SameRack {
-		for i := range racks {
-			p := planEviction(workers, racks[i].workers, u, r)
-			if p != nil && (best == nil || p.cost < best.cost) {
-				best = p
-			}
+	best := cheapestPlan(workers, racks, u, r, allowedWorkers)
+	if u.Guaranteed {
+		p := cheapestPlan(workers, racks, u, r, clearedWorkers)
+		if p != nil && (best == nil || p.claims() < best.claims() || best.stopsLimited(workers)) {
+			best = p
 		}
-	} else {
-		best = planEviction(workers, allWorkers(workers), u, r)
+	}
+	if best == nil && u.Guaranteed && u.SameRack { // the guarantee counts more than the time on several racks
+		anyRack := *u
+		anyRack.SameRack = false
+
+		return evict(workers, racks, &anyRack, r)
 	}
 	if best == nil {
 		return false
@@ -61,6 +63,29 @@
 	return true
 }
 
+// selector returns those of the candidate workers on which a plan may make room for a unit.
+type selector func(workers []Worker, candidates []int, u *Unit, r *Result) []int
+
+// allowedWorkers selects all candidates.
+func allowedWorkers(_ []Worker, candidates []int, _ *Unit, _ *Result) []int { return candidates }
+
+// cheapestPlan returns the cheapest plan for a unit on the selected workers, of one rack if it must be on one; nil
+// if there is none.
+func cheapestPlan(workers []Worker, racks []rack, u *Unit, r *Result, selected selector) *evictionPlan {
+	if !u.SameRack {
+		return planEviction(workers, selected(workers, allWorkers(workers), u, r), u, r)
+	}
+	var best *evictionPlan
+	for i := range racks {
+		p := planEviction(workers, selected(workers, racks[i].workers, u, r), u, r)
+		if p != nil && (best == nil || p.cost < best.cost) {
+			best = p
+		}
+	}
+
+	return best
+}
+
 // planEviction returns the evictions that let all tasks of a unit run on the candidate
 // workers, chosen task by task, or nil if that is impossible.
 func planEviction(workers []Worker, candidates []int, u *Unit, r *Result) *evictionPlan {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -42,7 +42,8 @@
 		CPUDemand    float64       // CPU demand of its runs as a share of its CPU capacity; may exceed 1
 		SpareBelow   int           // spare worker: accepts only priorities with a number below this; 0 if not a spare
 		Runs         []Run
-		Lasting      []LastingRun // runs of long-running tasks, which only guaranteed units may evict
+		Lasting      []LastingRun  // runs of long-running tasks, which only guaranteed units may evict
+		Limited      []LimitedTask // long-running tasks that can't be stopped at will
 
 		reserved *reservation // made in this decision
 	}
@@ -76,6 +77,8 @@
 		Overdue      bool          // has waited too long beside free capacity: its preferences and others' reservations no longer keep it waiting
 		MayEvict     bool          // may evict runs of a lower priority
 		Guaranteed   bool          // covered by its workspace's guarantee: may evict borrowed runs too
+		Limited      *LimitedTask  // what its tasks have in common, if they can't be stopped at will; else nil
+		Guarantees   []Guarantee   // of its service, which its limited tasks must leave reclaimable
 	}
 
 	// Placement puts one task on a worker.
@@ -126,6 +129,9 @@
 		}
 		for t, w := range a.byTask {
 			workers[w].occupy(u)
+			if u.Limited != nil {
+				workers[w].addLimited(u.limitedTask(u.Tasks[t]))
+			}
 			r.Placements = append(r.Placements, Placement{Unit: i, Task: u.Tasks[t], Worker: w})
 		}
 		if len(a.byTask) < len(u.Tasks) {
@@ -168,7 +174,7 @@
 // requirement returns the unit's key. The result is false if the key does not cover
 // all of the unit's constraints.
 func (u *Unit) requirement() (requirement, bool) {
-	complete := u.MaxPerWorker == 0 && len(u.Avoid) == 0 && len(u.Exclude) == 0 && u.Allowed == nil
+	complete := u.Limited == nil && u.MaxPerWorker == 0 && len(u.Avoid) == 0 && len(u.Exclude) == 0 && u.Allowed == nil
 	rack := ""
 	if u.DataRackOnly {
 		rack = u.DataRack
@@ -260,6 +266,15 @@
 // placeWithin chooses workers for a unit: for all tasks of a gang or for none, for as many of
 // other tasks as fit.
 func placeWithin(workers []Worker, racks []rack, u *Unit) assignment {
+	if u.Limited != nil && len(u.Guarantees) > 0 {
+		return placeLimited(workers, racks, u)
+	}
+
+	return placeUnlimited(workers, racks, u)
+}
+
+// placeUnlimited is placeWithin without regard to guarantees.
+func placeUnlimited(workers []Worker, racks []rack, u *Unit) assignment {
 	if u.Gang && u.SameRack {
 		return placeOnRack(workers, racks, u)
 	}
--- a/internal/run/engine/fleet.go
+++ b/internal/run/engine/fleet.go
@@ -46,6 +46,9 @@
 		pw.Schedulable = pw.Schedulable && !barred[name]
 		pw.ClaimedBy = e.claimingUnit(name, now)
 		for _, m := range e.workers[name].members() {
+			if t := e.toLimitedTask(m, guaranteed[m.unit.job]); t != nil {
+				pw.Limited = append(pw.Limited, *t)
+			}
 			if !m.unit.job.Steps[m.unit.step].LongRunning || m.unit.aborted {
 				pw.Runs = append(pw.Runs, e.toPlacementRun(m, guaranteed[m.unit.job], now))
 			} else if n := mayStop[m.unit.stepKey()]; n > 0 {
--- a/internal/run/engine/lasting.go
+++ b/internal/run/engine/lasting.go
@@ -1,6 +1,11 @@
 package engine
 
-import "sesameyoke/internal/core/placement"
+import (
+	"slices"
+
+	"sesameyoke/internal/core/placement"
+	"sesameyoke/internal/core/policy"
+)
 
 // stoppableTasks returns, by step, how many long-running tasks may be stopped without exceeding the
 // number of tasks of the step that may be unavailable at once. A step that states no such number is not
@@ -53,3 +58,52 @@
 		MayStop: mayStop,
 	}
 }
+
+// limitedTask returns what the tasks of a long-running step have in common that can't be stopped at will: those of a step
+// that limits how many may be unavailable, and those that a guarantee covers. It returns nil for other tasks.
+func (e *Engine) limitedTask(j *job, occur, step int, guaranteed bool) *placement.LimitedTask {
+	st := &j.Steps[step]
+	if !st.LongRunning || (st.MaxUnavailable == 0 && !guaranteed) {
+		return nil
+	}
+	t := &placement.LimitedTask{Step: stepName(j, occur, step), Workspace: j.Workspace, Tasks: 1, Count: st.Count, MayMiss: st.MaxUnavailable, Accelerators: st.Need.Accelerators}
+	if st.Gang {
+		t.Tasks = st.Count
+	}
+	if guaranteed {
+		t.MayMiss = 0
+	}
+
+	return t
+}
+
+// toLimitedTask returns a run as a limited task; nil if it can be stopped at will, or is being stopped already.
+func (e *Engine) toLimitedTask(m *member, guaranteed bool) *placement.LimitedTask {
+	u := m.unit
+	if u.aborted || u.orphan {
+		return nil
+	}
+	t := e.limitedTask(u.job, u.occur, u.step, guaranteed)
+	if t != nil {
+		t.Group = u.name
+	}
+
+	return t
+}
+
+// guaranteesOf returns the guarantees that the workers of a service must be able to honour: all, if it has a queue of
+// priority 0.
+func (e *Engine) guaranteesOf(service string) []placement.Guarantee {
+	p := e.Policy()
+	if p == nil || !slices.ContainsFunc(p.Queues, func(q policy.Queue) bool { return q.Service == service && q.Priority == 0 }) {
+		return nil
+	}
+	var all []placement.Guarantee
+	for _, w := range p.Workspaces {
+		if w.Guaranteed > 0 {
+			all = append(all, placement.Guarantee{Workspace: w.Name, Accelerators: w.Guaranteed})
+		}
+	}
+
+	return all
+}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -159,6 +159,9 @@
 	c.unit.UsesSpares = waited >= spareAfter
 	c.unit.Reserves = st.Gang
 	c.unit.Guaranteed = guaranteed
+	if c.unit.Limited = e.limitedTask(j, occur, step, guaranteed); c.unit.Limited != nil && !guaranteed {
+		c.unit.Guarantees = e.guaranteesOf(q.Service)
+	}
 	c.unit.MayEvict = placement.MayEvict(q.Priority, waited, e.Timing.EvictAfter)
 
 	return append(cands, c)
@@ -223,11 +226,7 @@
 	if c.unit.MaxPerWorker > 0 {
 		c.unit.Placed = e.tasksByWorker(c, f)
 	}
-	for name, held := range e.claims {
-		if _, ok := f.index[name]; ok && held.unit == c.unit.Name {
-			c.unit.HasClaim, c.unit.MayEvict = true, false
-		}
-	}
+	e.applyClaims(c, f)
 	e.relaxConstraints(c, f)
 	e.addSpeedLimit(c)
 	e.keepApart(c, f)
@@ -237,6 +236,21 @@
 	e.assessOverdue(c, f)
 }
 
+// applyClaims notes that workers are claimed by a candidate's unit. Where they are on several racks, no single one
+// could be cleared for it.
+func (e *Engine) applyClaims(c *candidate, f *fleetSnapshot) {
+	racks := map[string]bool{}
+	for name, held := range e.claims {
+		if i, ok := f.index[name]; ok && held.unit == c.unit.Name {
+			c.unit.HasClaim, c.unit.MayEvict = true, false
+			racks[f.workers[i].Rack] = true
+		}
+	}
+	if len(racks) > 1 {
+		c.unit.SameRack = false
+	}
+}
+
 // onLastAttempt reports whether one more failure of the unit fails its job.
 func (e *Engine) onLastAttempt(c *candidate) bool {
 	for _, t := range c.unit.Tasks {
--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -113,7 +113,7 @@
 	u := &c.unit
 	e.Log.Info().Str("event", "unit-waits").Str("id", c.job.ID).Str("unit", u.Name).Dur("idle", idle).Dur("waited", e.SinceBoot()-c.job.acceptedAt).
 		Int("priority", u.Priority).Int("tasks", len(u.Tasks)).Bool("gang", u.Gang).Bool("samerack", u.SameRack).Str("datarack", u.DataRack).
-		Int("cpu", u.Need.CPU).Int("memory", u.Need.Memory).Int("accelerators", u.Need.Accelerators).Bool("claim", u.HasClaim).Bool("overdue", u.Overdue).
+		Int("cpu", u.Need.CPU).Int("memory", u.Need.Memory).Int("accelerators", u.Need.Accelerators).Bool("claim", u.HasClaim).Bool("overdue", u.Overdue).Bool("limited", u.Limited != nil).
 		Int("fit", s.Fit).Int("onrack", s.FitOnRack).Int("avoided", s.Avoided).Int("otherrack", s.OtherRack).Int("claimed", s.Claimed).
 		Int("spare", s.Spare).Int("reserved", s.Reserved).Int("unschedulable", s.Unschedulable).
 		Float64("used", s.Used).Float64("usedcpu", s.UsedCPU).Float64("usedmemory", s.UsedMemory).Float64("usedaccel", s.UsedAccel).Msg("")
