A start that was answered does not keep its task waiting for late starts

A worker restarts, gets a task and is lost for good before its first report.

Cause: when the answer to a start shows the restart, starts in flight count as ones that the new incarnation may still execute within 15 s. That included the very start that had just been answered, and others in flight after their answers.

Starts in flight now count only until they are answered; an answer that comes later counts for the longest lease from then on.

--- a/internal/run/engine/lease.go
+++ b/internal/run/engine/lease.go
@@ -66,18 +66,30 @@
 // validUntilAtLeast returns the time before which the lease does not count as expired, because of orders
 // with deadlines on the clock of an earlier incarnation.
 func (w *worker) validUntilAtLeast() time.Duration {
-	return max(w.notExpiredBefore, w.lateUntil)
+	until := max(w.notExpiredBefore, w.lateUntil)
+	for _, ms := range w.runs {
+		for _, m := range ms {
+			if m.phase == starting && m.lateIfUnanswered != 0 {
+				until = max(until, m.lateIfUnanswered+w.maxLease)
+			}
+		}
+	}
+
+	return until
 }
 
 // voidDeadlines is called when the worker's clock has begun anew. Orders with deadlines on the clock before
 // may have given it the longest lease that it accepts. Until the new incarnation has answered a call with a higher
-// token, starts without an answer may still do so, too.
+// token, starts without an answer may still do so, too. Those in flight may yet be answered, and count no longer then.
 func (e *Engine) voidDeadlines(w *worker) {
 	now := e.SinceBoot()
 	w.notExpiredBefore = max(w.notExpiredBefore, now+w.maxLease)
 	for _, m := range w.members() {
-		if until := e.lateStartUntil(m); until > now {
-			w.lateUntil = max(w.lateUntil, until+w.maxLease)
+		if m.lateStartUntil > now {
+			w.lateUntil = max(w.lateUntil, m.lateStartUntil+w.maxLease)
+		}
+		if m.phase == starting {
+			m.lateIfUnanswered = now + e.Timing.LateOrderWindow
 		}
 	}
 	w.deadline = 0
@@ -87,6 +99,9 @@
 // orders to earlier incarnations. From now on it refuses these orders, but they may have given it the longest lease.
 func (e *Engine) noteFenced(w *worker, clock int64) {
 	w.lateUntil = 0
+	for _, m := range w.members() {
+		m.lateIfUnanswered = 0
+	}
 	age := time.Duration(float64(clock)/minClockRate) * time.Millisecond
 	if (w.life > 0 && age < e.Timing.LateOrderWindow+w.maxLease) || e.mayHaveFormerOrders(w, age) {
 		w.notExpiredBefore = max(w.notExpiredBefore, e.SinceBoot()+w.maxLease)
--- a/internal/run/engine/session.go
+++ b/internal/run/engine/session.go
@@ -388,7 +388,7 @@
 	e.handleLoss(w, e.restartCause(w, draining), incarnation)
 	w.resetIncarnation(incarnation, e.SinceBoot())
 	e.voidDeadlines(w)
-	w.reported, w.expiredBy = false, w.validUntilAtLeast()
+	w.reported, w.expiredBy = false, w.notExpiredBefore
 	e.Log.Warn().Str("event", "worker-restarted").Str("worker", w.ID).Int64("born", incarnation).Int64("before", before).Int64("token", w.fence).
 		Dur("late", max(0, w.lateUntil-e.SinceBoot())).Int("runs", len(w.runs)).Msg("")
 	for _, m := range w.members() {
--- a/internal/run/engine/starts.go
+++ b/internal/run/engine/starts.go
@@ -88,6 +88,8 @@
 	if a.retried || errors.Is(a.err, target.ErrUnknown) {
 		e.raiseToken(m.worker.ID)
 		e.noteUnansweredStart(m)
+	} else if w := m.worker; m.lateIfUnanswered != 0 { // the newest incarnation may have executed it just now
+		w.notExpiredBefore = max(w.notExpiredBefore, e.SinceBoot()+w.maxLease)
 	}
 	notDone := a.unsent || errors.Is(a.err, errOvertaken)
 	switch {
--- a/internal/run/engine/unit.go
+++ b/internal/run/engine/unit.go
@@ -62,18 +62,20 @@
 		resumedFrom    string        // checkpoint that the run resumed from
 		ticket         string        // ticket of the placement service
 		lateStartUntil time.Duration // until then, a start that got no answer may be executed
-		sentAt         time.Duration // when its start was sent; 0 if this planner has not sent it
-		began          time.Duration // when its start was answered or it was first reported as running; 0 before
-		checkpointAt   time.Duration // when its newest checkpoint was first reported
-		lost           bool          // its worker has restarted, and no report has shown the run since
-		crash          *crash.Run    // crash of the worker that may have ended the run; nil if none is known
-		track          straggler.Track
-		tracking       bool          // track holds a first reading
-		speedCounted   bool          // its run time has been compared with others
-		usage          int           // tail latency in milliseconds of a serving task, else thousandths of a core in use
-		confirmedShare int           // CPU share in percent that the worker has confirmed; negative if not known
-		shareInFlight  bool          // an order that sets the CPU share is in flight
-		starvedSince   time.Duration // since when a best-effort task has had no CPU share; 0 if it has one
+		// The same if the start in flight gets no answer, which the worker's newest incarnation may execute; 0 if it has been fenced.
+		lateIfUnanswered time.Duration
+		sentAt           time.Duration // when its start was sent; 0 if this planner has not sent it
+		began            time.Duration // when its start was answered or it was first reported as running; 0 before
+		checkpointAt     time.Duration // when its newest checkpoint was first reported
+		lost             bool          // its worker has restarted, and no report has shown the run since
+		crash            *crash.Run    // crash of the worker that may have ended the run; nil if none is known
+		track            straggler.Track
+		tracking         bool          // track holds a first reading
+		speedCounted     bool          // its run time has been compared with others
+		usage            int           // tail latency in milliseconds of a serving task, else thousandths of a core in use
+		confirmedShare   int           // CPU share in percent that the worker has confirmed; negative if not known
+		shareInFlight    bool          // an order that sets the CPU share is in flight
+		starvedSince     time.Duration // since when a best-effort task has had no CPU share; 0 if it has one
 	}
 )
 
--- a/internal/run/engine/unsettled.go
+++ b/internal/run/engine/unsettled.go
@@ -16,20 +16,13 @@
 	Workers map[string]int64 // milliseconds from the write until such a start is not executed any more
 }
 
-// lateStartUntil returns the time until which a start of a member that got no answer yet, or a copy of it, may
-// be executed.
-func (e *Engine) lateStartUntil(m *member) time.Duration {
-	if m.phase == starting {
-		return e.SinceBoot() + e.Timing.LateOrderWindow
-	}
-
-	return m.lateStartUntil
-}
-
 // noteUnansweredStart notes that a start of a member, or a copy of it, got no answer.
 func (e *Engine) noteUnansweredStart(m *member) {
 	m.unit.job.begun = true
 	m.lateStartUntil = e.SinceBoot() + e.Timing.LateOrderWindow
+	if w := m.worker; m.lateIfUnanswered != 0 { // its worker has restarted since, and is not fenced yet
+		w.lateUntil = max(w.lateUntil, m.lateStartUntil+w.maxLease)
+	}
 }
 
 // unsettledStarts returns the content of the record, and forgets the members whose starts are settled.
