A guaranteed job keeps what is being freed for it until all its tasks are placed

Cause: with its first placement a job lost its claims on all workers. Where stops were still under way, evicted tasks that waited took the accelerators that were freed one by one, and their steps then allowed no further stop. It needs runs that end at different times on one worker; in the stand-in they end together.

A unit with waiting tasks now keeps its claims on workers with runs that are being stopped.

--- a/internal/run/engine/guarantees_test.go
+++ b/internal/run/engine/guarantees_test.go
@@ -62,6 +62,9 @@
 
 		return 1500 * time.Millisecond, target.Done
 	}
+	g.fleet.KillGrace = func(string) time.Duration {
+		return 50*time.Millisecond + time.Duration(g.randFloat()*float64(350*time.Millisecond))
+	}
 	for _, name := range []string{"a", "b"} {
 		g.start(name)
 	}
--- a/internal/run/engine/pass.go
+++ b/internal/run/engine/pass.go
@@ -326,12 +326,12 @@
 			c.job.Phase = work.Running
 		}
 	}
+	counts := map[int]int{}
+	for _, p := range ps {
+		counts[p.Unit]++
+	}
 	for i, us := range placed {
-		for name, held := range e.claims {
-			if held.unit == cands[i].unit.Name {
-				delete(e.claims, name)
-			}
-		}
+		e.dropClaims(cands[i].unit.Name, counts[i] == len(cands[i].unit.Tasks))
 		e.writer.put(cands[i].job, func(err error) {
 			for _, u := range us {
 				if err != nil {
@@ -347,6 +347,23 @@
 	}
 }
 
+// dropClaims drops the claims of a unit of which tasks have been placed. If others still wait, it keeps those on
+// workers on which runs are being stopped: the capacity that they free is for these tasks.
+func (e *Engine) dropClaims(unit string, complete bool) {
+	for name, held := range e.claims {
+		if held.unit == unit && (complete || !e.hasEndingRuns(name)) {
+			delete(e.claims, name)
+		}
+	}
+}
+
+// hasEndingRuns reports whether runs on a worker are being stopped.
+func (e *Engine) hasEndingRuns(name string) bool {
+	w := e.workers[name]
+
+	return w != nil && slices.ContainsFunc(w.members(), func(m *member) bool { return m.unit.aborted })
+}
+
 // unitFor returns the unit of a placement, which it adds to the units placed in this pass.
 // All placements of a gang share one unit.
 func (e *Engine) unitFor(c *candidate, p placement.Placement, placed map[int][]*unit) *unit {
--- a/internal/standin/fleet/orders.go
+++ b/internal/standin/fleet/orders.go
@@ -195,12 +195,21 @@
 	w.token = s.Token
 	w.highestRun[s.Task] = max(w.highestRun[s.Task], s.Run)
 	if r := w.runs[s.Task]; r != nil && r.run <= s.Run && r.killAt.IsZero() {
-		r.killAt = time.Now().Add(killGrace)
+		r.killAt = time.Now().Add(f.killGrace(w))
 	}
 
 	return w.clock(), nil
 }
 
+// killGrace returns the time from a stop on a worker until the run ends.
+func (f *Fleet) killGrace(w *Worker) time.Duration {
+	if f.KillGrace == nil {
+		return killGrace
+	}
+
+	return f.KillGrace(w.ID)
+}
+
 func (f *Fleet) renewLease(ctx context.Context, caller string, a target.Address, l target.LeaseRenewal) (target.Report, error) {
 	w, err := f.reach(ctx, caller, a, func(w *Worker) { f.renewUnobserved(w, l) })
 	if err != nil {
--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -48,6 +48,8 @@
 		// ListLag returns how long a change of the list takes to become visible. Changes stay in
 		// order. They are visible at once if it is nil.
 		ListLag func() time.Duration
+		// KillGrace returns the time from a stop until the run ends. It is killGrace if it is nil.
+		KillGrace func(worker string) time.Duration
 		// NoLateStarts lets starts that are not executed at once be lost. The other calls may be executed late.
 		NoLateStarts bool
 		// HeldRenewalsStay lets a lease renewal that the worker holds be answered in the end even if
