Limited tasks may run where they take nothing more from guarantees out of reach

Where guarantees could not be reclaimed anyway, because they had grown or workers were away, no long-running task with a limit was placed at all, not even beside the accelerators that were missing. What counts now is what could be reclaimed before. Tasks that run when guarantees grow stay where they are.

--- a/internal/core/placement/limited.go
+++ b/internal/core/placement/limited.go
@@ -42,6 +42,8 @@
 		step       string // of the unit that is being placed
 		planned    int    // tasks of that step that are still to be placed, and count as available
 		unmetEmpty int    // accelerators that could not be reclaimed if no limited tasks ran
+
+		unmetBefore int // accelerators that could not be reclaimed before the unit is placed, if no task of a limited step were unavailable
 	}
 
 	// bin is a worker with accelerators that guaranteed tasks could get.
@@ -83,7 +85,7 @@
 		}
 	}()
 	rc := &reclaim{workers: workers, service: u.Service, guarantees: u.Guarantees, step: u.Limited.Step}
-	rc.measureEmpty()
+	rc.measure()
 	if u.Gang {
 		return rc.placeGang(racks, u)
 	}
@@ -167,18 +169,20 @@
 	return &o
 }
 
-// mayHold reports whether the unit's tasks may run where they are: the guarantees can be reclaimed as from an empty fleet.
-// Where that could not hold them all, the unit may still use the accelerators of its own workspace's guarantee.
+// mayHold reports whether the unit's tasks may run where they are: the guarantees can be reclaimed as far as before.
+// Where an empty fleet could not hold them all, the unit may still use the accelerators of its own workspace's guarantee.
 func (rc *reclaim) mayHold(u *Unit) bool {
-	if rc.assess().unmet <= rc.unmetEmpty {
+	if rc.assess().unmet <= max(rc.unmetEmpty, rc.unmetBefore) {
 		return true
 	}
 
 	return rc.unmetEmpty > 0 && rc.heldBy(u.Limited.Workspace) <= rc.guaranteeOf(u.Limited.Workspace)
 }
 
-// measureEmpty sets unmetEmpty.
-func (rc *reclaim) measureEmpty() {
+// measure sets unmetEmpty and unmetBefore. Guarantees that have grown may be out of reach already.
+func (rc *reclaim) measure() {
+	bins, _ := rc.bins(rc.largestAllowances())
+	rc.unmetBefore = unmetNeeds(bins, needsOf(rc.guarantees, rc.unstoppable(rc.allowances())))
 	var all []bin
 	for i := range rc.workers {
 		if rc.mayReclaim(i) {
@@ -256,6 +260,18 @@
 	return o
 }
 
+// largestAllowances returns, by step, how many of its tasks may be stopped at once when all are available.
+func (rc *reclaim) largestAllowances() map[string]int {
+	n := map[string]int{}
+	for i := range rc.workers {
+		for _, t := range rc.workers[i].Limited {
+			n[t.Step] = t.MayMiss
+		}
+	}
+
+	return n
+}
+
 // allowances returns, by step, how many of the limited tasks that run may be stopped at once.
 func (rc *reclaim) allowances() map[string]int {
 	n := map[string]int{}
