--- a/internal/run/engine/waiting.go
+++ b/internal/run/engine/waiting.go
@@ -71,7 +71,7 @@
 		return
 	}
 	idle := now - s.since
-	if !placement.MayBeOverdue(idle, f.usedShare(c.unit.Service)) {
+	if !placement.MayBeOverdue(&c.unit, idle, f.usedShare(c.unit.Service)) {
 		s.overdue, s.notOverdueAt = false, now
 	} else if now >= s.assessedAt+overdueInterval {
 		shortage := placement.Explain(f.workers, &c.unit)
