Best-effort tasks without a CPU share are stopped within their step's limit

Cause: the stop of a task that had no share for 5 s did not look at mayMiss. It does now, as maintenance does.

--- a/internal/run/engine/cpushare.go
+++ b/internal/run/engine/cpushare.go
@@ -73,7 +73,8 @@
 
 // applyCPUShare sets a best-effort task to the CPU share that its worker leaves to such tasks,
 // unless the worker has confirmed that share. A task that has had no share for
-// starvationLimit is stopped instead, to start elsewhere.
+// starvationLimit is stopped instead, to start elsewhere, but a long-running one only while few enough others of its
+// step are unavailable.
 func (e *Engine) applyCPUShare(m *member, now time.Duration) {
 	w := m.worker
 	switch {
@@ -81,7 +82,7 @@
 		m.starvedSince = 0
 	case m.starvedSince == 0:
 		m.starvedSince = now
-	case now-m.starvedSince > starvationLimit:
+	case now-m.starvedSince > starvationLimit && (!m.unit.job.Steps[m.unit.step].LongRunning || e.mayStop(m)):
 		w.noBestEffortUntil = now + bestEffortBackoff
 		e.abort(m.unit, "no CPU share left")
 
