Guarantees: the assessment in a file of its own, and bounded in time

placement/limited.go places long-running tasks with a limit, reclaim.go tells what guarantees could reclaim. Plans that clear whole workers are preferred only where long-running tasks are stopped.

--- a/internal/core/placement/evict.go
+++ b/internal/core/placement/evict.go
@@ -34,9 +34,9 @@
 // tasks of a unit, and claims the workers for it. It reports whether there is such a plan.
 func evict(workers []Worker, racks []rack, u *Unit, r *Result) bool {
 	best := cheapestPlan(workers, racks, u, r, allowedWorkers)
-	if u.Guaranteed {
+	if u.Guaranteed && (best == nil || best.stopsLasting(workers)) {
 		p := cheapestPlan(workers, racks, u, r, clearedWorkers)
-		if p != nil && (best == nil || p.claims() < best.claims() || best.stopsLimited(workers)) {
+		if p != nil && (best == nil || best.stopsLimited(workers) || p.claims() < best.claims()) {
 			best = p
 		}
 	}
--- a/internal/core/placement/lasting.go
+++ b/internal/core/placement/lasting.go
@@ -69,6 +69,13 @@
 	return runs
 }
 
+// stopsLasting reports whether a plan stops long-running tasks.
+func (p *evictionPlan) stopsLasting(workers []Worker) bool {
+	return slices.ContainsFunc(workers, func(w Worker) bool {
+		return slices.ContainsFunc(w.Lasting, func(r LastingRun) bool { return p.groups[r.Group] })
+	})
+}
+
 // stopsLimited reports whether a plan stops tasks of a step that limits how many may be unavailable.
 func (p *evictionPlan) stopsLimited(workers []Worker) bool {
 	return slices.ContainsFunc(workers, func(w Worker) bool {
--- a/internal/core/placement/limited.go
+++ b/internal/core/placement/limited.go
@@ -11,9 +11,8 @@
 // workers can be cleared at once for all guarantees. It answers a load of long-running jobs that fill an idle fleet
 // before the owners of its accelerators come.
 
-// tightShare is the multiple of the guarantees' accelerators up to which the number of accelerators that could be
-// reclaimed counts more than the other costs of a placement.
-const tightShare = 2
+// maxCompared is the largest number of workers that are compared for one task.
+const maxCompared = 16
 
 type (
 	// Guarantee is the number of accelerators that belong to a workspace.
@@ -32,33 +31,6 @@
 		MayMiss      int // number of tasks of the step that may be unavailable at once
 		Accelerators int
 	}
-
-	// reclaim tells how far guarantees could be reclaimed from the limited tasks on workers. All other runs are taken for
-	// stoppable.
-	reclaim struct {
-		workers    []Worker
-		service    string
-		guarantees []Guarantee
-		step       string // of the unit that is being placed
-		planned    int    // tasks of that step that are still to be placed, and count as available
-		unmetEmpty int    // accelerators that could not be reclaimed if no limited tasks ran
-
-		unmetBefore int // accelerators that could not be reclaimed before the unit is placed, if no task of a limited step were unavailable
-	}
-
-	// bin is a worker with accelerators that guaranteed tasks could get.
-	bin struct {
-		free  int
-		whole bool // nothing else stays on the worker
-	}
-
-	// outlook is the result of an assessment.
-	outlook struct {
-		unmet      int // accelerators that could not be reclaimed in whole workers
-		unmetWidth int // the same for tasks of the least favourable width
-		clear      int // accelerators of the workers that could be cleared at once, up to tightShare of the guarantees
-		blocked    int // workers that could not be cleared even alone, while clear is below its bound
-	}
 )
 
 // limitedTask returns the unit's task with the given index as a limited task.
@@ -102,7 +74,7 @@
 		workers[i].addLimited(task)
 	}
 	rc.planned = 0
-	for len(a.byTask) > 0 && !rc.mayHold(u) { // fewer of the step's tasks may be stopped while some have no room
+	for len(a.byTask) > 0 && !rc.mayHold(u, rc.assess().unmet) { // fewer of the step's tasks may be stopped while some have no room
 		last := len(a.byTask) - 1
 		i := a.byTask[last]
 		a.byTask = a.byTask[:last]
@@ -119,7 +91,7 @@
 	for t, i := range a.byTask {
 		rc.workers[i].addLimited(u.limitedTask(u.Tasks[t]))
 	}
-	if !rc.mayHold(u) {
+	if !rc.mayHold(u, rc.assess().unmet) {
 		return assignment{}
 	}
 
@@ -127,28 +99,55 @@
 }
 
 // bestWorker returns the worker on which one more limited task leaves most to the guarantees, of those the cheapest;
-// negative if there is none.
+// negative if there is none. It compares the cheapest workers, and the others only if the task may not run on any of these.
 func (rc *reclaim) bestWorker(u *Unit, a *assignment, task LimitedTask) int {
-	best, bestOutlook, bestCost := -1, outlook{}, 0.0
-	empty := map[int]*outlook{} // of workers without limited tasks, by their number of accelerators
+	candidates := rc.candidates(u, a)
+	for len(candidates) > 0 {
+		n := min(len(candidates), maxCompared)
+		if i := rc.bestOf(u, task, candidates[:n]); i >= 0 {
+			return i
+		}
+		candidates = candidates[n:]
+	}
+
+	return -1
+}
+
+// candidates returns the workers on which one more task fits, the cheapest first: all with limited tasks, and one of
+// each size without any.
+func (rc *reclaim) candidates(u *Unit, a *assignment) []costEntry {
+	var all []costEntry
+	empty := map[int]int{} // index in all of the cheapest worker without limited tasks, by its number of accelerators
 	for i := range rc.workers {
 		cost, ok := costOf(rc.workers, i, u, a)
 		if !ok {
 			continue
 		}
 		w := &rc.workers[i]
-		o := empty[w.Capacity.Accelerators]
-		if o == nil || len(w.Limited) > 0 {
-			o = rc.assessWith(u, i, task)
-			if len(w.Limited) == 0 {
-				empty[w.Capacity.Accelerators] = o
+		if len(w.Limited) == 0 {
+			if at, known := empty[w.Capacity.Accelerators]; known {
+				if cost < all[at].cost {
+					all[at] = costEntry{cost, i}
+				}
+
+				continue
 			}
+			empty[w.Capacity.Accelerators] = len(all)
 		}
-		if o.unmet < 0 {
-			continue
-		}
-		if c := compareOutlooks(*o, bestOutlook); best < 0 || c < 0 || (c == 0 && cost < bestCost) {
-			best, bestOutlook, bestCost = i, *o, cost
+		all = append(all, costEntry{cost, i})
+	}
+	slices.SortStableFunc(all, func(a, b costEntry) int { return cmp.Compare(a.cost, b.cost) })
+
+	return all
+}
+
+// bestOf returns the best of the candidates, which are sorted by cost; negative if the task may not run on any.
+func (rc *reclaim) bestOf(u *Unit, task LimitedTask, candidates []costEntry) int {
+	best, bestOutlook := -1, outlook{}
+	for _, c := range candidates {
+		o := rc.assessWith(u, c.worker, task)
+		if o.unmet >= 0 && (best < 0 || compareOutlooks(o, bestOutlook) < 0) {
+			best, bestOutlook = c.worker, o
 		}
 	}
 
@@ -156,281 +155,29 @@
 }
 
 // assessWith returns the outlook with one more task on a worker. A negative unmet tells that it may not run there.
-func (rc *reclaim) assessWith(u *Unit, i int, task LimitedTask) *outlook {
+func (rc *reclaim) assessWith(u *Unit, i int, task LimitedTask) outlook {
 	w := &rc.workers[i]
 	before := w.Limited
 	w.addLimited(task)
 	defer func() { w.Limited = before }()
-	if !rc.mayHold(u) {
-		return &outlook{unmet: -1}
-	}
 	o := rc.assess()
+	if !rc.mayHold(u, o.unmet) {
+		o.unmet = -1
+	}
 
-	return &o
+	return o
 }
 
-// mayHold reports whether the unit's tasks may run where they are: the guarantees can be reclaimed as far as before.
+// mayHold reports whether the unit's tasks may run where they are, if that leaves the given number of accelerators that can't be
+// reclaimed: not more than before.
 // Where an empty fleet could not hold them all, the unit may still use the accelerators of its own workspace's guarantee.
-func (rc *reclaim) mayHold(u *Unit) bool {
-	if rc.assess().unmet <= max(rc.unmetEmpty, rc.unmetBefore) {
+func (rc *reclaim) mayHold(u *Unit, unmet int) bool {
+	if unmet <= max(rc.unmetEmpty, rc.unmetBefore) {
 		return true
 	}
 
 	return rc.unmetEmpty > 0 && rc.heldBy(u.Limited.Workspace) <= rc.guaranteeOf(u.Limited.Workspace)
 }
 
-// measure sets unmetEmpty and unmetBefore. Guarantees that have grown may be out of reach already.
-func (rc *reclaim) measure() {
-	bins, _ := rc.bins(rc.largestAllowances())
-	rc.unmetBefore = unmetNeeds(bins, needsOf(rc.guarantees, rc.unstoppable(rc.allowances())))
-	var all []bin
-	for i := range rc.workers {
-		if rc.mayReclaim(i) {
-			all = append(all, bin{free: rc.workers[i].Capacity.Accelerators, whole: true})
-		}
-	}
-	rc.unmetEmpty = unmetNeeds(all, needsOf(rc.guarantees, nil))
-}
-
-// mayReclaim reports whether guaranteed tasks could run on a worker if nothing else did.
-func (rc *reclaim) mayReclaim(i int) bool {
-	w := &rc.workers[i]
-
-	return w.Service == rc.service && w.Schedulable && w.Capacity.Accelerators > 0
-}
-
-// heldBy returns the accelerators that the limited tasks of a workspace hold.
-func (rc *reclaim) heldBy(workspace string) int {
-	n := 0
-	for i := range rc.workers {
-		if !rc.mayReclaim(i) {
-			continue
-		}
-		for _, t := range rc.workers[i].Limited {
-			if t.Workspace == workspace {
-				n += t.Accelerators
-			}
-		}
-	}
-
-	return n
-}
-
-// guaranteeOf returns the accelerators that belong to a workspace.
-func (rc *reclaim) guaranteeOf(workspace string) int {
-	for _, g := range rc.guarantees {
-		if g.Workspace == workspace {
-			return g.Accelerators
-		}
-	}
-
-	return 0
-}
-
 // addLimited adds a limited task to the worker. The slice before stays as it is.
 func (w *Worker) addLimited(t LimitedTask) { w.Limited = append(slices.Clip(w.Limited), t) }
-
-// compareOutlooks orders outlooks, the best one for the guarantees first.
-func compareOutlooks(a, b outlook) int {
-	return cmp.Or(cmp.Compare(a.unmet, b.unmet), cmp.Compare(a.unmetWidth, b.unmetWidth), cmp.Compare(b.clear, a.clear), cmp.Compare(a.blocked, b.blocked))
-}
-
-// assess returns how far the guarantees could be reclaimed.
-func (rc *reclaim) assess() outlook {
-	mayStop := rc.allowances()
-	bins, blocked := rc.bins(mayStop)
-	total, widest := 0, 0
-	for _, b := range bins {
-		if b.whole {
-			total, widest = total+b.free, max(widest, b.free)
-		}
-	}
-	needs := needsOf(rc.guarantees, rc.unstoppable(mayStop))
-	o := outlook{unmet: unmetNeeds(bins, needs), blocked: blocked}
-	bound := 0
-	for i, n := range needs {
-		bound += tightShare * n
-		needs[i] = widthNeed(n, widest)
-	}
-	o.unmetWidth = unmetNeeds(bins, needs)
-	if o.clear = min(total, bound); total >= bound {
-		o.blocked = 0
-	}
-
-	return o
-}
-
-// largestAllowances returns, by step, how many of its tasks may be stopped at once when all are available.
-func (rc *reclaim) largestAllowances() map[string]int {
-	n := map[string]int{}
-	for i := range rc.workers {
-		for _, t := range rc.workers[i].Limited {
-			n[t.Step] = t.MayMiss
-		}
-	}
-
-	return n
-}
-
-// allowances returns, by step, how many of the limited tasks that run may be stopped at once.
-func (rc *reclaim) allowances() map[string]int {
-	n := map[string]int{}
-	for i := range rc.workers {
-		for _, t := range rc.workers[i].Limited {
-			if _, ok := n[t.Step]; !ok {
-				n[t.Step] = t.MayMiss - t.Count
-			}
-			n[t.Step]++
-		}
-	}
-	if _, ok := n[rc.step]; ok {
-		n[rc.step] += rc.planned
-	}
-
-	return n
-}
-
-// bins returns the accelerators that could be free at once: of the workers that could be cleared, and beside the limited
-// tasks on the others. It also returns how many workers could not be cleared even alone.
-func (rc *reclaim) bins(mayStop map[string]int) ([]bin, int) {
-	var order []int
-	for i := range rc.workers {
-		if rc.mayReclaim(i) {
-			order = append(order, i)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(len(rc.workers[a].Limited), len(rc.workers[b].Limited)) })
-	stopped, groups := stops{}, map[string]bool{}
-	blocked := 0
-	var bins []bin
-	for _, i := range order {
-		w := &rc.workers[i]
-		if w.canClear(mayStop, stopped, groups) {
-			for _, t := range w.Limited {
-				stopped.addTask(&t, groups)
-			}
-			bins = append(bins, bin{free: w.Capacity.Accelerators, whole: true})
-
-			continue
-		}
-		bins = append(bins, bin{free: w.besideLimited()})
-		if !w.canClear(mayStop, stops{}, map[string]bool{}) {
-			blocked++
-		}
-	}
-
-	return bins, blocked
-}
-
-// besideLimited returns how many accelerators of the worker no limited task holds.
-func (w *Worker) besideLimited() int {
-	n := w.Capacity.Accelerators
-	for _, t := range w.Limited {
-		n -= t.Accelerators
-	}
-
-	return max(0, n)
-}
-
-// canClear reports whether the limited tasks on the worker could be stopped in addition to the given ones.
-func (w *Worker) canClear(mayStop map[string]int, stopped stops, groups map[string]bool) bool {
-	more, counted := stops{}, map[string]bool{}
-	for _, t := range w.Limited {
-		if groups[t.Group] {
-			continue
-		}
-		more.addTask(&t, counted)
-		if stopped[t.Step]+more[t.Step] > mayStop[t.Step] {
-			return false
-		}
-	}
-
-	return true
-}
-
-// addTask counts the tasks of a limited task's group, once.
-func (s stops) addTask(t *LimitedTask, groups map[string]bool) {
-	if !groups[t.Group] {
-		groups[t.Group] = true
-		s[t.Step] += t.Tasks
-	}
-}
-
-// unstoppable returns, by workspace, the number of accelerators of limited tasks that could not be stopped if as many as
-// possible of their steps were.
-func (rc *reclaim) unstoppable(mayStop map[string]int) map[string]int {
-	all, counted := map[string]int{}, map[string]int{}
-	for i := range rc.workers {
-		if !rc.mayReclaim(i) {
-			continue
-		}
-		for _, t := range rc.workers[i].Limited {
-			if counted[t.Step]++; t.Tasks > mayStop[t.Step] || counted[t.Step] > mayStop[t.Step] {
-				all[t.Workspace] += t.Accelerators
-			}
-		}
-	}
-
-	return all
-}
-
-// needsOf returns what is left of each guarantee beside the accelerators that its own workspace holds.
-func needsOf(guarantees []Guarantee, held map[string]int) []int {
-	needs := make([]int, len(guarantees))
-	for i, g := range guarantees {
-		needs[i] = max(0, g.Accelerators-held[g.Workspace])
-	}
-
-	return needs
-}
-
-// widthNeed returns the accelerators of the whole workers that a guarantee needs for tasks of the least favourable width:
-// three tasks of 5 accelerators need three workers of 8.
-func widthNeed(accelerators, perWorker int) int {
-	if accelerators <= perWorker {
-		return accelerators
-	}
-	most := accelerators
-	for width := 1; width <= perWorker; width++ {
-		tasks, fit := accelerators/width, perWorker/width
-		most = max(most, (tasks+fit-1)/fit*perWorker)
-	}
-
-	return most
-}
-
-// unmetNeeds returns how many of the needed accelerators have no room in bins: each need takes whole workers, and its rest
-// a part of one.
-func unmetNeeds(bins []bin, needs []int) int {
-	free, unmet := slices.Clone(bins), 0
-	slices.SortFunc(free, func(a, b bin) int { return cmp.Compare(a.free, b.free) })
-	for _, need := range slices.Backward(slices.Sorted(slices.Values(needs))) {
-		for need > 0 {
-			at := slices.IndexFunc(free, func(b bin) bool { return b.free >= need })
-			if at < 0 {
-				at = lastWhole(free)
-			}
-			if at < 0 {
-				break
-			}
-			part := min(need, free[at].free)
-			need -= part
-			free[at] = bin{free: free[at].free - part}
-			slices.SortFunc(free, func(a, b bin) int { return cmp.Compare(a.free, b.free) })
-		}
-		unmet += need
-	}
-
-	return unmet
-}
-
-// lastWhole returns the index of the last bin that is a whole worker; negative if there is none.
-func lastWhole(bins []bin) int {
-	for i, b := range slices.Backward(bins) {
-		if b.whole {
-			return i
-		}
-	}
-
-	return -1
-}
