--- a/internal/core/placement/limitedbench_test.go
+++ b/internal/core/placement/limitedbench_test.go
@@ -23,7 +23,7 @@
 		}
 		workers[i] = w
 	}
-	var guarantees []placement.Guarantee
+	guarantees := make([]placement.Guarantee, 0, 24)
 	for i := range 24 {
 		guarantees = append(guarantees, placement.Guarantee{Workspace: fmt.Sprint(i), Accelerators: fleet * 8 / 2 / 24})
 	}
