--- a/internal/run/engine/goneafterrestart_test.go
+++ b/internal/run/engine/goneafterrestart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,7 @@
 const longestWait = 11500 * time.Millisecond
 
 // TestGoneAfterRestart restarts an idle worker, which the list does not show yet, lets it get one or several tasks and
-// takes it away for good right after the first or the last of their starts was answered, up to seconds later. It guards
+// takes it away for good once all their starts were answered, up to seconds later. It guards
 // against tasks that wait longer than the longest lease for a worker that is gone, because orders had deadlines on its
 // clock before, or because an answered start counts as one that may still be executed.
 func TestGoneAfterRestart(t *testing.T) {
@@ -39,17 +40,17 @@
 	r := newRig(t, 1)
 	r.fleet.ListLag = func() time.Duration { return time.Duration(r.listLag.Load()) }
 	var lost sync.Once
-	var goneAt time.Time
+	var answered atomic.Int64
+	goneAt := make(chan time.Time, 1)
 	r.mutation.config = func(c *engine.Config) {
 		direct, w := c.Workers, *c.Workers
-		answered := 0
 		w.Start = func(ctx context.Context, a target.Address, s target.Start) (int64, error) {
 			clock, err := direct.Start(ctx, a, s)
-			if answered++; a.ID == "k0" && answered >= tasks {
+			if a.ID == "k0" && s.Task.Job == "j" && answered.Add(1) >= int64(tasks) {
 				lost.Do(func() {
 					time.AfterFunc(after, func() {
 						r.fleet.Kill("k0")
-						goneAt = time.Now()
+						goneAt <- time.Now()
 					})
 				})
 			}
@@ -74,10 +75,10 @@
 	_, eng := r.planner()
 	require.NoError(t, eng.Cancel(t.Context(), "other", "w"))
 	time.Sleep(30 * time.Second)
-	waited := map[int]time.Duration{}
+	gone, waited := <-goneAt, map[int]time.Duration{}
 	for _, run := range r.fleet.Runs() {
 		if run.Worker == "k1" && run.Task.Job == "j" {
-			waited[run.Task.Index] = run.From.Sub(goneAt)
+			waited[run.Task.Index] = run.From.Sub(gone)
 		}
 	}
 	r.stop()
